--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,321 @@
+//! Renting and returning: how many machines of which kind. Pure.
+
+use crate::names::{FrameIx, Index, MachineIx, ZoneIx};
+use crate::queue::{Needs, Room};
+
+/// A type that can be rented.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    /// Type.
+    pub frame: FrameIx,
+    /// Size.
+    pub size: Room,
+    /// Zones.
+    pub zones: Vec<ZoneIx>,
+    /// Price of an ordinary machine.
+    pub price: f64,
+    /// Price of a spot machine.
+    pub spot_price: f64,
+    /// Boot time.
+    pub boot_s: f64,
+}
+
+/// Work of one job that waits or runs.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    /// Demands of its tasks.
+    pub needs: Needs,
+    /// Tasks that could run now if there were machines, the team's limit observed.
+    pub tasks: f64,
+    /// CPU seconds of work left in all.
+    pub work: f64,
+}
+
+/// A machine of the fleet.
+#[derive(Debug, Clone)]
+pub struct Rented {
+    /// Name.
+    pub machine: MachineIx,
+    /// Type.
+    pub frame: FrameIx,
+    /// Zone.
+    pub zone: ZoneIx,
+    /// Spot.
+    pub spot: bool,
+    /// Size.
+    pub size: Room,
+    /// Price now.
+    pub price: f64,
+    /// Seconds without any bound task, none while it has some or boots.
+    pub idle_s: Option<f64>,
+    /// Seconds since the rental.
+    pub held_s: f64,
+}
+
+/// A request to make.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Order {
+    /// Type.
+    pub frame: FrameIx,
+    /// Zone.
+    pub zone: ZoneIx,
+    /// Spot.
+    pub spot: bool,
+    /// How many.
+    pub number: u32,
+}
+
+/// Parameters of a plan.
+#[derive(Debug, Clone, Copy)]
+pub struct Rules {
+    /// Seconds of work a rented CPU should find.
+    pub horizon_s: f64,
+    /// Seconds of idleness before a return.
+    pub idle_s: f64,
+    /// Most machines.
+    pub most: usize,
+    /// Shortest time charged, seconds.
+    pub charge_s: f64,
+}
+
+/// CPUs that the work at hand is worth: never more than can run at once, and fewer when the
+/// work would be over before a machine had paid for its boot.
+pub fn wanted(demand: &[Demand], rules: &Rules) -> f64 {
+    let runnable: f64 = demand.iter().map(|d| d.tasks * d.needs.room.cpus).sum();
+    let work: f64 = demand.iter().map(|d| d.work).sum();
+    runnable.min((work / rules.horizon_s).max(runnable.min(4.0)))
+}
+
+/// Decides what to rent. `open` says whether type, zone and kind may be asked now.
+pub fn rent(
+    demand: &[Demand],
+    fleet: &[Rented],
+    offers: &[Offer],
+    rules: &Rules,
+    mut open: impl FnMut(FrameIx, ZoneIx, bool) -> bool,
+) -> Vec<Order> {
+    let mut out: Vec<Order> = Vec::new();
+    let mut count = fleet.len();
+    // Kinds are asked in the order of what a CPU costs; a job that cannot use a kind leaves its
+    // part of the demand to the next ones.
+    let mut kinds: Vec<(f64, &Offer, bool)> = offers
+        .iter()
+        .flat_map(|o| [(o.spot_price, o, true), (o.price, o, false)])
+        .map(|(price, o, spot)| (price / o.size.cpus.max(1e-6), o, spot))
+        .collect();
+    kinds.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut extra: Vec<(FrameIx, ZoneIx, bool, Room, u32)> = Vec::new();
+    for (_, offer, spot) in kinds {
+        for &zone in &offer.zones {
+            if !open(offer.frame, zone, spot) {
+                continue;
+            }
+            let usable: Vec<Demand> = demand
+                .iter()
+                .filter(|d| d.needs.suits(offer.frame, zone, spot, &offer.size))
+                .cloned()
+                .collect();
+            let want = wanted(&usable, rules);
+            let useful = |frame, zone, spot, size: &Room| {
+                usable
+                    .iter()
+                    .any(|d| d.needs.suits(frame, zone, spot, size))
+            };
+            let mut have: f64 = fleet
+                .iter()
+                .filter(|m| useful(m.frame, m.zone, m.spot, &m.size))
+                .map(|m| m.size.cpus)
+                .sum();
+            have += extra
+                .iter()
+                .filter(|e| useful(e.0, e.1, e.2, &e.3))
+                .map(|e| e.3.cpus * f64::from(e.4))
+                .sum::<f64>();
+            let missing = want - have;
+            // A machine that would stay mostly empty is left to smaller types.
+            let number = if missing >= offer.size.cpus * 0.5 {
+                (missing / offer.size.cpus).round().max(1.0) as u32
+            } else {
+                0
+            };
+            let number = number
+                .min(50)
+                .min((rules.most.saturating_sub(count)) as u32);
+            if number > 0 {
+                count += number as usize;
+                extra.push((offer.frame, zone, spot, offer.size, number));
+                out.push(Order {
+                    frame: offer.frame,
+                    zone,
+                    spot,
+                    number,
+                });
+            }
+        }
+    }
+    // What nothing rounds up to: the cheapest machine for demand that no machine suits.
+    if out.is_empty() {
+        for d in demand.iter().filter(|d| d.tasks > 0.0) {
+            let served = fleet
+                .iter()
+                .any(|m| d.needs.suits(m.frame, m.zone, m.spot, &m.size));
+            if served || count >= rules.most {
+                continue;
+            }
+            let cheapest = offers
+                .iter()
+                .flat_map(|o| o.zones.iter().map(move |&z| (o, z)))
+                .flat_map(|(o, z)| [(o.spot_price, o, z, true), (o.price, o, z, false)])
+                .filter(|&(_, o, z, s)| d.needs.suits(o.frame, z, s, &o.size))
+                .filter(|&(_, o, z, s)| open(o.frame, z, s))
+                .min_by(|a, b| a.0.total_cmp(&b.0));
+            if let Some((_, o, zone, spot)) = cheapest {
+                out.push(Order {
+                    frame: o.frame,
+                    zone,
+                    spot,
+                    number: 1,
+                });
+                break;
+            }
+        }
+    }
+    out
+}
+
+/// Decides which idle machines go back: the dearest per CPU first, while what stays suffices.
+pub fn give_back(demand: &[Demand], fleet: &[Rented], rules: &Rules) -> Vec<MachineIx> {
+    let want = wanted(demand, rules);
+    let mut have: f64 = fleet.iter().map(|m| m.size.cpus).sum();
+    let mut idle: Vec<&Rented> = fleet
+        .iter()
+        .filter(|m| m.idle_s.is_some_and(|i| i >= rules.idle_s) && m.held_s >= rules.charge_s)
+        .collect();
+    let per_cpu = |m: &Rented| m.price / m.size.cpus.max(1e-6);
+    idle.sort_by(|a, b| {
+        per_cpu(b)
+            .total_cmp(&per_cpu(a))
+            .then(a.machine.raw().cmp(&b.machine.raw()))
+    });
+    let mut out = Vec::new();
+    for m in idle {
+        let needed = demand.iter().any(|d| {
+            d.tasks > 0.0
+                && d.needs.suits(m.frame, m.zone, m.spot, &m.size)
+                && !fleet.iter().any(|o| {
+                    o.machine != m.machine
+                        && !out.contains(&o.machine)
+                        && d.needs.suits(o.frame, o.zone, o.spot, &o.size)
+                })
+        });
+        if !needed && have - m.size.cpus >= want {
+            have -= m.size.cpus;
+            out.push(m.machine);
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::queue::tests::needs;
+
+    const RULES: Rules = Rules {
+        horizon_s: 60.0,
+        idle_s: 10.0,
+        most: 100,
+        charge_s: 60.0,
+    };
+
+    fn offer(frame: u32, cpus: f64, price: f64) -> Offer {
+        Offer {
+            frame: FrameIx::from_raw(frame),
+            size: Room {
+                cpus,
+                gpus: 0.0,
+                ram: cpus * 4.0,
+            },
+            zones: vec![ZoneIx::from_raw(0), ZoneIx::from_raw(1)],
+            price,
+            spot_price: price / 3.0,
+            boot_s: 20.0,
+        }
+    }
+
+    fn demand(tasks: f64, work: f64) -> Demand {
+        Demand {
+            needs: needs(),
+            tasks,
+            work,
+        }
+    }
+
+    fn rented(machine: u32, cpus: f64, idle_s: Option<f64>, held_s: f64) -> Rented {
+        Rented {
+            machine: MachineIx::from_raw(machine),
+            frame: FrameIx::from_raw(0),
+            zone: ZoneIx::from_raw(0),
+            spot: false,
+            size: offer(0, cpus, 1.0).size,
+            price: 1.0,
+            idle_s,
+            held_s,
+        }
+    }
+
+    #[test]
+    fn the_cheapest_kind_is_asked_first_and_refused_ones_are_passed_over() {
+        let offers = [offer(0, 4.0, 1.0), offer(1, 64.0, 20.0)];
+        let orders = rent(&[demand(16.0, 4000.0)], &[], &offers, &RULES, |_, _, _| {
+            true
+        });
+        assert_eq!(orders.len(), 1);
+        assert_eq!(
+            (orders[0].frame.raw(), orders[0].spot, orders[0].number),
+            (0, true, 4)
+        );
+        let orders = rent(&[demand(16.0, 4000.0)], &[], &offers, &RULES, |_, z, s| {
+            !s && z.raw() == 1
+        });
+        assert_eq!((orders[0].zone.raw(), orders[0].spot), (1, false));
+    }
+
+    #[test]
+    fn little_work_is_not_worth_many_machines() {
+        let offers = [offer(0, 4.0, 1.0)];
+        let orders = rent(&[demand(100.0, 600.0)], &[], &offers, &RULES, |_, _, _| {
+            true
+        });
+        assert_eq!(orders.iter().map(|o| o.number).sum::<u32>(), 3);
+        assert!(rent(&[], &[], &offers, &RULES, |_, _, _| true).is_empty());
+    }
+
+    #[test]
+    fn a_job_that_no_machine_suits_gets_one_even_if_it_is_small() {
+        let offers = [offer(0, 4.0, 1.0), offer(1, 64.0, 20.0)];
+        let mut d = demand(1.0, 10.0);
+        d.needs.frames = Some(vec![FrameIx::from_raw(1)]);
+        let orders = rent(
+            &[d],
+            &[rented(0, 4.0, None, 0.0)],
+            &offers,
+            &RULES,
+            |_, _, _| true,
+        );
+        assert_eq!((orders[0].frame.raw(), orders[0].number), (1, 1));
+    }
+
+    #[test]
+    fn idle_machines_go_back_when_they_are_paid_for_and_not_wanted() {
+        let fleet = [
+            rented(0, 4.0, Some(20.0), 100.0),
+            rented(1, 4.0, Some(20.0), 30.0),
+            rented(2, 4.0, Some(2.0), 100.0),
+            rented(3, 4.0, None, 100.0),
+        ];
+        let back = give_back(&[], &fleet, &RULES);
+        assert_eq!(back, [MachineIx::from_raw(0)]);
+        assert!(give_back(&[demand(16.0, 4000.0)], &fleet, &RULES).is_empty());
+    }
+}
--- /dev/null
+++ b/src/jobs.rs
@@ -0,0 +1,291 @@
+//! What users may submit, and what they are told. Pure.
+
+use crate::core::Core;
+use crate::queue::Room;
+use crate::view::{job_key, past_key};
+use crate::wire::{Change, Guard, JobAnswer, JobRecord, JobSpec, JobStatus, Submission, Txn};
+use std::collections::{HashMap, VecDeque};
+
+/// Longest name of a job, and of anything else that a user names.
+const LONGEST_NAME: usize = 120;
+/// Most tasks of a job.
+const MOST_TASKS: u32 = 100_000;
+
+/// A submission as far as it can be read.
+#[derive(Debug)]
+pub enum Read {
+    /// Well-formed.
+    Good(Box<Submission>),
+    /// Malformed. The name is there if that part of it can be trusted: a job of this name may
+    /// be known, and then a repeat of it must not be refused.
+    Bad(Option<String>, String),
+}
+
+/// Whether a name has the form of a job's.
+pub fn is_job_name(name: &str) -> bool {
+    let digits = name.strip_prefix("wk-").unwrap_or("");
+    (1..=18).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit())
+}
+
+/// Reads the body of a submission.
+pub fn read(body: &[u8]) -> Read {
+    let value: serde_json::Value = match serde_json::from_slice(body) {
+        Ok(v) => v,
+        Err(e) => return Read::Bad(None, format!("not JSON: {e}")),
+    };
+    if !value.is_object() {
+        return Read::Bad(None, "not an object".into());
+    }
+    let name = value.get("ref").and_then(|r| r.as_str());
+    let Some(name) = name.filter(|n| is_job_name(n)).map(str::to_owned) else {
+        return Read::Bad(None, "ref: missing or not of the form wk-000000".into());
+    };
+    let submission: Submission = match serde_json::from_value(value) {
+        Ok(s) => s,
+        Err(e) => return Read::Bad(Some(name), e.to_string()),
+    };
+    match check(&submission.spec) {
+        Ok(()) => Read::Good(Box::new(submission)),
+        Err(what) => Read::Bad(Some(name), what),
+    }
+}
+
+fn check(s: &JobSpec) -> Result<(), String> {
+    if s.legs == 0 || s.legs > MOST_TASKS {
+        return Err(format!("legs: must be 1 to {MOST_TASKS}"));
+    }
+    let amounts = [
+        ("vcpus", s.vcpus),
+        ("gpus", s.gpus),
+        ("ramGb", s.ram_gb),
+        ("sizeGb", s.size_gb),
+        ("rideS", s.ride_s),
+        ("waypointS", s.waypoint_s),
+        ("stowS", s.stow_s),
+        ("dueS", s.due_s.unwrap_or(0.0)),
+    ];
+    for (name, v) in amounts {
+        if !(v.is_finite() && (0.0..=1e9).contains(&v)) {
+            return Err(format!("{name}: must be a number of 0 or more"));
+        }
+    }
+    let names = [&s.route, &s.crew, &s.kit]
+        .into_iter()
+        .chain(s.frames.iter().flatten())
+        .chain(&s.yard);
+    for name in names {
+        if name.is_empty() || name.len() > LONGEST_NAME {
+            return Err(format!("a name must have 1 to {LONGEST_NAME} bytes"));
+        }
+    }
+    if s.frames.as_ref().is_some_and(|f| f.len() > 64) {
+        return Err("frames: too many".into());
+    }
+    Ok(())
+}
+
+impl Core {
+    /// Why a job can never run here, if so. The catalog must be known.
+    pub fn never_runs(&self, s: &JobSpec) -> Option<String> {
+        let teams = &self.settings.platform.settings.teams;
+        let Some(team) = teams.iter().find(|t| t.name == s.crew) else {
+            return Some(format!("unknown team {:?}", s.crew));
+        };
+        if s.vcpus > team.cpus_max + 1e-6 || s.gpus > team.gpus_max + 1e-6 {
+            return Some("a task needs more than the team's limit".into());
+        }
+        let room = Room {
+            cpus: s.vcpus,
+            gpus: s.gpus,
+            ram: s.ram_gb,
+        };
+        let fits = self.frames.values().any(|f| {
+            let size = Room {
+                cpus: f.vcpus,
+                gpus: f.gpus,
+                ram: f.ram_gb,
+            };
+            s.frames.as_ref().is_none_or(|l| l.contains(&f.label))
+                && s.yard.as_ref().is_none_or(|y| f.yards.contains(y))
+                && room.fits(&size)
+        });
+        (!fits).then(|| "a task fits no allowed machine type".into())
+    }
+
+    /// Whether a job's record fits into the state service.
+    pub fn fits_state(&self, record: &JobRecord) -> bool {
+        let spare = 14 * self.settings.open_tasks().min(64);
+        serde_json::to_string(record).is_ok_and(|s| s.len() + spare <= self.settings.value_bytes())
+    }
+}
+
+/// The record of a new job.
+pub fn new_record(spec: JobSpec, day_ms: u64) -> JobRecord {
+    JobRecord {
+        s: spec,
+        st: JobStatus::Pending,
+        d: Default::default(),
+        t: day_ms,
+    }
+}
+
+/// The transaction that accepts a job: it exists under neither of its keys.
+pub fn accept(name: &str, record: &JobRecord) -> Txn {
+    let guard = |k| Guard { k, stamp: 0 };
+    Txn {
+        guards: vec![guard(job_key(name)), guard(past_key(name))],
+        then: vec![crate::core::put(&job_key(name), record, None)],
+    }
+}
+
+/// The transaction that cancels a job read at `stamp`. It races with the last ending in the
+/// same key, so one of the two comes first for everybody.
+pub fn cancel(name: &str, record: &JobRecord, stamp: u64) -> Txn {
+    let mut record = record.clone();
+    record.st = JobStatus::Withdrawn;
+    Txn {
+        guards: vec![Guard {
+            k: job_key(name),
+            stamp,
+        }],
+        then: vec![Change::Put {
+            put: job_key(name),
+            v: serde_json::to_value(&record).unwrap_or_default(),
+            permit: None,
+        }],
+    }
+}
+
+/// What a user is told of a stored job.
+pub fn answer(name: &str, record: &JobRecord, running: u32) -> JobAnswer {
+    let over = record.st != JobStatus::Pending;
+    let running = if over { 0 } else { running };
+    JobAnswer {
+        name: name.to_owned(),
+        status: match record.st {
+            JobStatus::Pending if running > 0 => JobStatus::Running,
+            st => st,
+        },
+        done: Some(record.d.len()),
+        running: Some(running),
+    }
+}
+
+/// Final answers, which never change; a bounded number of the latest.
+#[derive(Debug, Default)]
+pub struct Finals {
+    by_name: HashMap<String, JobAnswer>,
+    order: VecDeque<String>,
+}
+
+/// Final answers kept in memory.
+const FINALS: usize = 5000;
+
+impl Finals {
+    /// Keeps an answer if it is final.
+    pub fn note(&mut self, a: &JobAnswer) {
+        if !matches!(a.status, JobStatus::Done | JobStatus::Withdrawn) {
+            return;
+        }
+        if self.by_name.insert(a.name.clone(), a.clone()).is_none() {
+            self.order.push_back(a.name.clone());
+        }
+        while self.order.len() > FINALS {
+            if let Some(old) = self.order.pop_front() {
+                self.by_name.remove(&old);
+            }
+        }
+    }
+
+    /// The final answer for a job, if it is remembered.
+    pub fn get(&self, name: &str) -> Option<&JobAnswer> {
+        self.by_name.get(name)
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+    use crate::settings::tests::small;
+
+    pub(crate) const GOOD: &str = r#"{"ref":"wk-000412","route":"train","crew":"blue",
+        "shape":"batch","urgency":"urgent","legs":4,"vcpus":1.0,"gpus":0,"ramGb":2.0,
+        "kit":"img-07","sizeGb":1.0,"frames":null,"samePlace":false,"spread":false,
+        "loaners":true,"rideS":20.0,"waypointS":0,"stowS":0,"dueS":100.0,"later":[1]}"#;
+
+    #[test]
+    fn malformed_submissions_are_told_apart_by_what_is_wrong() {
+        assert!(matches!(read(GOOD.as_bytes()), Read::Good(_)));
+        let named = [
+            ("\"legs\":4", "\"legs\":0"),
+            ("\"legs\":4", "\"legs\":100001"),
+            ("\"legs\":4", "\"legs\":-1"),
+            ("\"legs\":4", "\"legs\":1.5"),
+            ("\"legs\":4,", ""),
+            ("\"vcpus\":1.0", "\"vcpus\":-1.0"),
+            ("\"vcpus\":1.0", "\"vcpus\":\"1\""),
+            ("\"rideS\":20.0", "\"rideS\":null"),
+            ("\"batch\"", "\"gang\""),
+            ("\"urgent\"", "\"urgentest\""),
+            ("\"spread\":false", "\"spread\":0"),
+            ("\"kit\":\"img-07\"", "\"kit\":\"\""),
+        ];
+        for (from, to) in named {
+            let text = GOOD.replace(from, to);
+            assert!(
+                matches!(read(text.as_bytes()), Read::Bad(Some(_), _)),
+                "{to}"
+            );
+        }
+        let long = format!("wk-{}", "0".repeat(300));
+        for text in [
+            "".to_owned(),
+            "[]".to_owned(),
+            "{}".to_owned(),
+            GOOD.replace("wk-000412", "job-1"),
+            GOOD.replace("wk-000412", &long),
+            GOOD.replace("\"vcpus\":1.0", "\"vcpus\":1e999"),
+        ] {
+            assert!(
+                matches!(read(text.as_bytes()), Read::Bad(None, _)),
+                "{text}"
+            );
+        }
+    }
+
+    #[test]
+    fn a_job_that_no_machine_or_team_can_carry_is_named_so() {
+        let mut core = Core::new(small(), 1);
+        core.on_catalog(crate::core::tests::catalog());
+        let Read::Good(s) = read(GOOD.as_bytes()) else {
+            panic!("good")
+        };
+        assert_eq!(core.never_runs(&s.spec), None);
+        let with = |f: &dyn Fn(&mut JobSpec)| {
+            let mut spec = s.spec.clone();
+            f(&mut spec);
+            core.never_runs(&spec).is_some()
+        };
+        assert!(with(&|s| s.crew = "green".into()));
+        assert!(with(&|s| s.vcpus = 17.0));
+        assert!(with(&|s| s.gpus = 1.0));
+        assert!(with(&|s| s.ram_gb = 1e6));
+        assert!(with(&|s| s.frames = Some(vec!["none".into()])));
+        assert!(with(&|s| s.yard = Some("west".into())));
+    }
+
+    #[test]
+    fn final_answers_stay_and_others_are_not_kept() {
+        let mut f = Finals::default();
+        let a = |st| JobAnswer {
+            name: "wk-1".into(),
+            status: st,
+            done: None,
+            running: None,
+        };
+        f.note(&a(JobStatus::Pending));
+        assert!(f.get("wk-1").is_none());
+        f.note(&a(JobStatus::Done));
+        assert_eq!(f.get("wk-1").map(|a| a.status), Some(JobStatus::Done));
+    }
+}
--- /dev/null
+++ b/src/leader.rs
@@ -0,0 +1,1308 @@
+//! The leader's duties: grants, machines in and out, bindings, renting; and the rounds of
+//! PackStealLB, which every holder runs for its own machines.
+
+use crate::balance::{self, Factors, Levels, Pack, Role};
+use crate::clock::Ms;
+use crate::core::{Action, Core, Move, Op, needs_of, put};
+use crate::fleet::{self, Demand, Offer, Rented, Rules};
+use crate::names::{FrameIx, HostIx, ImageIx, JobIx, MachineIx, ZoneIx};
+use crate::queue::{self, Candidate, Limits, Room, Slot};
+use crate::ranges::RangeSet;
+use crate::view::{
+    BlockId, Entry, Job, LEAD, TaskIx, Term, block_key, grant_key, job_key, past_key,
+};
+use crate::wire::{
+    Agent, BlockRecord, Change, JobStatus, LegStatus, ListedRig, MachineRecord, OwnerRecord,
+    Rental, Txn,
+};
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use tracing::{debug, info, warn};
+
+/// Shortest time that the cloud charges a machine for (PROTOCOL, catalog).
+const LEAST_CHARGE_S: f64 = 60.0;
+/// Most machines in one rental request (PROTOCOL).
+const MOST_RENTED: u32 = 50;
+
+#[derive(Debug, Clone)]
+struct Listed {
+    rented_at: Ms,
+    failed: bool,
+    /// Lists in a row that did not show it.
+    missing: u32,
+}
+
+/// What a leader remembers of one term; all of it can be found out anew.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct LeadRt {
+    term: Option<Term>,
+    since: Ms,
+    /// Since when the present leader seems to be gone.
+    lead_lost: Option<Ms>,
+    warm: HashMap<MachineIx, Vec<ImageIx>>,
+    listed: HashMap<MachineIx, Listed>,
+    /// Machines to be put into blocks.
+    place: BTreeMap<String, MachineRecord>,
+    refused: HashMap<(FrameIx, ZoneIx, bool), Ms>,
+    renting: HashMap<String, (Rental, Ms)>,
+    returning: bool,
+    /// Machines whose return was answered.
+    gone: BTreeSet<MachineIx>,
+    removed: HashMap<String, Ms>,
+    next_list: Ms,
+    list_busy: bool,
+    idle_since: HashMap<MachineIx, Ms>,
+    first_seen: HashMap<MachineIx, Ms>,
+    bookings: u64,
+    next_fleet: Ms,
+    next_archive: Ms,
+    next_even: Ms,
+    next_bind: Ms,
+    bind_version: u64,
+    leave: BTreeSet<MachineIx>,
+    round: Option<Round>,
+}
+
+/// A round of balancing.
+#[derive(Debug, Clone)]
+struct Round {
+    levels: Levels,
+    loads: HashMap<MachineIx, f64>,
+    packs: HashMap<MachineIx, Vec<Pack<Entry>>>,
+    steals: HashMap<MachineIx, u32>,
+}
+
+impl LeadRt {
+    /// For how long the leader has been `gone` without a break, ms.
+    pub(crate) fn lead_lost_for(&mut self, gone: bool, now: Ms) -> Option<u64> {
+        if !gone {
+            self.lead_lost = None;
+            return None;
+        }
+        Some(now.since(*self.lead_lost.get_or_insert(now)))
+    }
+}
+
+impl Core {
+    /// Does what the leader has to do, one transaction at a time.
+    pub(crate) fn tick_leader(&mut self, now: Ms, out: &mut Vec<Action>) {
+        let Some(term) = self.leads().map(|l| Term(l.stamp)) else {
+            if self.lead.term.is_some() {
+                info!("no longer leading");
+                let round = self.lead.round.take();
+                self.lead = LeadRt {
+                    round,
+                    ..LeadRt::default()
+                };
+            }
+            return;
+        };
+        if self.lead.term != Some(term) {
+            info!(term = term.0, "leading");
+            let round = self.lead.round.take();
+            self.lead = LeadRt {
+                term: Some(term),
+                since: now,
+                round,
+                ..LeadRt::default()
+            };
+        }
+        self.note_machines(now);
+        self.tick_cloud(now, term, out);
+        if !self.idle(Op::Leader, now) {
+            return;
+        }
+        let txn = self
+            .plan_grants(now)
+            .or_else(|| self.plan_machines(now))
+            .or_else(|| self.plan_bindings(now))
+            .or_else(|| self.plan_archive(now));
+        if let Some(mut txn) = txn {
+            txn.guards.push(self.guard(LEAD));
+            self.submit(Op::Leader, txn, out);
+        }
+    }
+
+    fn grace_over(&self, now: Ms) -> bool {
+        now.since(self.lead.since) > self.silent_ms() + 500
+    }
+
+    fn node_usable(&self, host: HostIx, now: Ms) -> bool {
+        let Some(node) = self.view.nodes.get(&host) else {
+            return false;
+        };
+        if host == self.me {
+            return node.boot == self.boot;
+        }
+        self.hears(host, now) || (!self.grace_over(now) && !self.peers.contains_key(&host))
+    }
+
+    /// Grants blocks that nobody holds, or whose holder is gone or silent, and evens them out.
+    fn plan_grants(&mut self, now: Ms) -> Option<Txn> {
+        let mut usable: Vec<HostIx> = self.view.nodes.keys().copied().collect();
+        usable.retain(|&h| self.node_usable(h, now));
+        usable.sort();
+        if usable.is_empty() {
+            return None;
+        }
+        let mut count: HashMap<HostIx, usize> = HashMap::new();
+        for (id, g) in &self.view.grants {
+            if let Some(b) = self.view.blocks.get(id) {
+                *count.entry(g.host).or_default() += b.machines.len() + 1;
+            }
+        }
+        let strays = self.misled_blocks(now);
+        let mut give: Vec<(BlockId, HostIx, &'static str)> = Vec::new();
+        for (&id, block) in &self.view.blocks {
+            let grant = self.view.grants.get(&id);
+            let why = match grant {
+                None => "unheld",
+                Some(g) => {
+                    let node = self.view.nodes.get(&g.host);
+                    if node.is_none_or(|n| n.boot != g.boot) {
+                        "holder replaced"
+                    } else if g.host != self.me
+                        && !self.hears(g.host, now)
+                        && self.grace_over(now)
+                        && self.corroborated(g.host, now)
+                    {
+                        "holder silent"
+                    } else if strays.contains_key(&id) {
+                        "holder cut off from its workers"
+                    } else {
+                        continue;
+                    }
+                }
+            };
+            let same = grant
+                .map(|g| g.host)
+                .filter(|h| why == "holder replaced" && usable.contains(h));
+            let to = same.or_else(|| strays.get(&id).copied()).or_else(|| {
+                usable
+                    .iter()
+                    .copied()
+                    .filter(|&h| why != "holder silent" || Some(h) != grant.map(|g| g.host))
+                    .min_by_key(|h| count.get(h).copied().unwrap_or(0))
+            });
+            let Some(to) = to else { continue };
+            *count.entry(to).or_default() += block.machines.len() + 1;
+            give.push((id, to, why));
+        }
+        if give.is_empty() && now >= self.lead.next_even && self.grace_over(now) {
+            self.lead.next_even = now.plus(6000);
+            let heavy = usable.iter().max_by_key(|h| count.get(h));
+            let light = usable.iter().min_by_key(|h| count.get(h));
+            if let (Some(&heavy), Some(&light)) = (heavy, light) {
+                let of = |h| count.get(&h).copied().unwrap_or(0);
+                let gap = of(heavy) - of(light);
+                let block = self
+                    .view
+                    .grants
+                    .iter()
+                    .filter(|(_, g)| g.host == heavy)
+                    .filter_map(|(&id, _)| {
+                        Some((id, self.view.blocks.get(&id)?.machines.len() + 1))
+                    })
+                    .filter(|&(_, n)| n < gap)
+                    .min_by_key(|&(id, n)| (n.abs_diff(gap / 2), id));
+                if let Some((id, _)) = block {
+                    give.push((id, light, "evened out"));
+                }
+            }
+        }
+        if give.is_empty() {
+            return None;
+        }
+        give.truncate(self.settings.platform.settings.state.txn_ops);
+        let mut txn = Txn::default();
+        for (id, host, why) in give {
+            let node = self.view.nodes.get(&host)?;
+            let key = grant_key(id);
+            txn.guards.push(self.guard(&key));
+            let record = OwnerRecord {
+                h: self.view.names.hosts.name(host).to_owned(),
+                b: node.boot.0,
+            };
+            txn.then.push(put(&key, &record, Some(node.permit)));
+            info!(block = id.0, holder = record.h, why, "granting");
+        }
+        Some(txn)
+    }
+
+    /// Blocks whose machines report to somebody else because their holder does not answer them.
+    fn misled_blocks(&self, now: Ms) -> HashMap<BlockId, HostIx> {
+        let mut out = HashMap::new();
+        if !self.grace_over(now) {
+            return out;
+        }
+        let mine = self.my_strays(now);
+        let theirs = self
+            .peers
+            .iter()
+            .filter(|&(&h, _)| self.hears(h, now))
+            .flat_map(|(&h, p)| p.strays.iter().map(move |s| (h, s)));
+        for (host, s) in mine.iter().map(|s| (self.me, s)).chain(theirs) {
+            if s.for_ms < 4500 || !self.node_usable(host, now) {
+                continue;
+            }
+            let Some(m) = self.view.names.machines.get(&s.rig) else {
+                continue;
+            };
+            let Some((block, grant)) = self.view.holder(m) else {
+                continue;
+            };
+            let age = self.machine_info(m, now).and_then(|i| i.age_ms);
+            if grant.host != host && age.is_none_or(|a| a > 4500) {
+                out.entry(block).or_insert(host);
+            }
+        }
+        out
+    }
+
+    /// Keeps track of what machines are there and since when.
+    fn note_machines(&mut self, now: Ms) {
+        let lead = &mut self.lead;
+        for (&ix, m) in &self.view.machines {
+            lead.first_seen.entry(ix).or_insert(now);
+            if m.queue.is_empty() {
+                lead.idle_since.entry(ix).or_insert(now);
+            } else {
+                lead.idle_since.remove(&ix);
+            }
+            for e in &m.queue {
+                if let Some(job) = self.view.jobs.get(&e.task.job) {
+                    let warm = lead.warm.entry(ix).or_default();
+                    if !warm.contains(&job.image) {
+                        warm.push(job.image);
+                    }
+                }
+            }
+        }
+        let there = |m: &MachineIx| self.view.machines.contains_key(m);
+        lead.first_seen.retain(|m, _| there(m));
+        lead.idle_since.retain(|m, _| there(m));
+        lead.warm.retain(|m, _| there(m));
+        lead.gone.retain(there);
+        lead.leave.retain(there);
+        lead.removed.retain(|_, t| now.since(*t) < 120_000);
+    }
+
+    /// Puts new machines into blocks, marks those that leave, and drops those that are gone.
+    fn plan_machines(&mut self, now: Ms) -> Option<Txn> {
+        let mut unknown: Vec<crate::wire::Stray> = self.my_strays(now);
+        unknown.extend(self.peers.values().flat_map(|p| p.strays.clone()));
+        for s in unknown {
+            let known = self.view.names.machines.get(&s.rig);
+            let listed = known.is_some_and(|m| self.view.machines.contains_key(&m));
+            if !listed && !self.lead.removed.contains_key(&s.rig) {
+                let record = new_machine(&s.frame, &s.yard, s.loaners);
+                self.lead.place.entry(s.rig).or_insert(record);
+            }
+        }
+        let names = &self.view.names.machines;
+        let machines = &self.view.machines;
+        self.lead
+            .place
+            .retain(|name, _| names.get(name).is_none_or(|m| !machines.contains_key(&m)));
+        let mut edits: BTreeMap<BlockId, BlockRecord> = BTreeMap::new();
+        let most = self.settings.platform.settings.state.txn_ops;
+        let record = |core: &Core, id| core.view.block_record(id, |_, m| m.queue.clone());
+        for &ix in &self.lead.gone {
+            let Some(m) = self.view.machines.get(&ix) else {
+                continue;
+            };
+            if edits.len() >= most && !edits.contains_key(&m.block) {
+                continue;
+            }
+            let r = edits
+                .entry(m.block)
+                .or_insert_with(|| record(self, m.block));
+            let name = self.view.names.machines.name(ix).to_owned();
+            info!(rig = name, tasks = m.queue.len(), "machine is gone");
+            r.m.remove(&name);
+            self.lead.removed.insert(name, now);
+        }
+        for &ix in &self.lead.leave {
+            let Some(m) = self.view.machines.get(&ix) else {
+                continue;
+            };
+            if m.leaving || (edits.len() >= most && !edits.contains_key(&m.block)) {
+                continue;
+            }
+            let r = edits
+                .entry(m.block)
+                .or_insert_with(|| record(self, m.block));
+            let name = self.view.names.machines.name(ix);
+            if let Some(entry) = r.m.get_mut(name) {
+                info!(rig = name, "machine is to leave");
+                entry.x = true;
+            }
+        }
+        let per_block = self.settings.block_machines();
+        let place: Vec<(String, MachineRecord)> = self
+            .lead
+            .place
+            .iter()
+            .map(|(n, r)| (n.clone(), r.clone()))
+            .collect();
+        for (name, machine) in place {
+            let mut sizes: Vec<(usize, BlockId)> = self
+                .view
+                .blocks
+                .iter()
+                .map(|(&id, b)| (edits.get(&id).map_or(b.machines.len(), |r| r.m.len()), id))
+                .collect();
+            sizes.extend(
+                edits
+                    .iter()
+                    .filter(|(id, _)| !self.view.blocks.contains_key(id))
+                    .map(|(&id, r)| (r.m.len(), id)),
+            );
+            sizes.sort();
+            let nodes = self.settings.platform.settings.count.max(1);
+            let free = (0..)
+                .map(BlockId)
+                .find(|id| !sizes.iter().any(|s| s.1 == *id))?;
+            let id = match sizes.first() {
+                Some(&(n, id)) if n < per_block && (sizes.len() >= nodes || n == 0) => id,
+                _ => free,
+            };
+            if edits.len() >= most && !edits.contains_key(&id) {
+                break;
+            }
+            let r = edits.entry(id).or_insert_with(|| record(self, id));
+            info!(
+                rig = name,
+                block = id.0,
+                frame = machine.f,
+                zone = machine.y,
+                spot = machine.l,
+                "machine joins"
+            );
+            r.m.insert(name, machine);
+        }
+        self.edit_blocks(edits)
+    }
+
+    fn edit_blocks(&self, edits: BTreeMap<BlockId, BlockRecord>) -> Option<Txn> {
+        if edits.is_empty() {
+            return None;
+        }
+        let mut txn = Txn::default();
+        for (id, record) in edits {
+            let key = block_key(id);
+            txn.guards.push(self.guard(&key));
+            txn.then.push(put(&key, &record, None));
+        }
+        Some(txn)
+    }
+
+    /// Whether tasks may be bound to a machine now.
+    fn available(&self, ix: MachineIx, now: Ms) -> bool {
+        let fresh = (self.settings.platform.settings.workers.report_s * 2000.0) as u64 + 500;
+        self.view.machines.get(&ix).is_some_and(|m| !m.leaving)
+            && !self.lead.gone.contains(&ix)
+            && !self.lead.leave.contains(&ix)
+            && self.machine_info(ix, now).is_some_and(|i| {
+                i.age_ms.is_some_and(|a| a < fresh) && i.recall_s.is_none() && !i.sick
+            })
+    }
+
+    fn slots(&self, now: Ms) -> Vec<Slot> {
+        let mut slots = Vec::new();
+        for ix in self.view.machines_sorted() {
+            let m = &self.view.machines[&ix];
+            let (Some(size), Some(frame)) = (self.size(m), self.frames.get(&m.frame)) else {
+                continue;
+            };
+            if !self.available(ix, now) {
+                continue;
+            }
+            let warm = self.lead.warm.get(&ix);
+            slots.push(Slot {
+                machine: ix,
+                frame: m.frame,
+                zone: m.zone,
+                spot: m.spot,
+                size,
+                used: self.used(ix),
+                load: self.machine_info(ix, now).map_or(0.0, |i| i.load),
+                fetch_gb_per_s: frame.fetch_gb_per_s,
+                warm: warm
+                    .map(|w| w.iter().copied().collect())
+                    .unwrap_or_default(),
+            });
+        }
+        slots
+    }
+
+    fn used(&self, ix: MachineIx) -> Room {
+        let mut used = Room::default();
+        for e in self.view.machines.get(&ix).map_or(&[][..], |m| &m.queue) {
+            if let Some(job) = self.view.jobs.get(&e.task.job) {
+                used.add(&needs_of(job).room, 1.0);
+            }
+        }
+        used
+    }
+
+    /// Seconds until a job must be begun to be done in time; large without a deadline.
+    fn slack_s(&self, job: &Job) -> f64 {
+        let age = self.day_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
+        match job.spec.due_s {
+            Some(due) => due - age - self.run_s(job),
+            None => 1e5 - age,
+        }
+    }
+
+    /// A job that fails and fails is tried again ever more slowly.
+    fn held_back(&self, job: JobIx, now: Ms) -> bool {
+        let theirs = self.peers.values().flat_map(|p| &p.fails);
+        let (mut count, mut last) = (0, Ms(0));
+        for &(j, n, at) in theirs {
+            if j == job {
+                count += n;
+                last = last.max(at);
+            }
+        }
+        if let Some(f) = self.fails.get(&job) {
+            count += f.count;
+            last = last.max(f.last);
+        }
+        let wait = match count {
+            0..=2 => 0,
+            n => 1000u64 << (n - 2).min(6),
+        };
+        now.since(last) < wait
+    }
+
+    fn plan_bindings(&mut self, now: Ms) -> Option<Txn> {
+        if now < self.lead.next_bind && self.lead.bind_version == self.view.version {
+            return None;
+        }
+        self.lead.next_bind = now.plus(500);
+        self.lead.bind_version = self.view.version;
+        let mut slots = self.slots(now);
+        if slots.is_empty() {
+            return None;
+        }
+        let bound = self.view.bound();
+        let mut zones = self.zones_of();
+        let mut teams = self.team_room();
+        let guarantee: HashMap<_, _> = self.guaranteed_left();
+        let mut order: Vec<(u8, bool, f64, JobIx)> = Vec::new();
+        for (&ix, job) in &self.view.jobs {
+            let open = bound.get(&ix).map_or(0, RangeSet::len) + job.done.len();
+            if job.status != JobStatus::Pending || open >= job.spec.legs {
+                continue;
+            }
+            let room = teams.get(&job.team).map_or(0.0, |t| t.cpus);
+            if room + 1e-6 < job.spec.vcpus || self.held_back(ix, now) {
+                continue;
+            }
+            let beyond = guarantee
+                .get(&job.team)
+                .is_none_or(|g| job.spec.vcpus > g + 1e-6);
+            order.push((job.spec.urgency as u8, beyond, self.slack_s(job), ix));
+        }
+        order.sort_by(|a, b| {
+            (a.0, a.1)
+                .cmp(&(b.0, b.1))
+                .then(a.2.total_cmp(&b.2))
+                .then(a.3.cmp(&b.3))
+        });
+        let most_open = self.settings.open_tasks();
+        let mut jobs: Vec<Candidate> = Vec::new();
+        for &(_, _, _, ix) in order.iter().take(200) {
+            let job = &self.view.jobs[&ix];
+            let mut taken = job.done.clone();
+            if let Some(b) = bound.get(&ix) {
+                taken.union(b);
+            }
+            // Open tasks below the highest bound one are what fragments the done ranges.
+            let open = bound.get(&ix).map_or(0, RangeSet::len) as usize + taken.fragments();
+            let most = most_open.saturating_sub(open).min(128);
+            jobs.push(Candidate {
+                job: ix,
+                team: job.team,
+                image: job.image,
+                image_gb: job.spec.size_gb,
+                needs: needs_of(job),
+                run_s: self.run_s(job),
+                tasks: taken.gaps(job.spec.legs).take(most).collect(),
+                zones: zones.remove(&ix).unwrap_or_default(),
+            });
+        }
+        let limits = Limits {
+            ahead: self.settings.options.queue_ahead,
+            sample: self.settings.options.queue_sample as usize,
+            most: 300,
+        };
+        let mut plan = queue::plan(&mut slots, &mut jobs, &mut teams, limits, &mut self.rng);
+        if plan.is_empty() {
+            return None;
+        }
+        // An attempt is numbered by the revision at which it is bound: unbinding comes at a
+        // later one, so attempts of a task only grow.
+        let attempt = self.view.ledger;
+        let ops = self.settings.platform.settings.state.txn_ops;
+        loop {
+            let mut add: BTreeMap<MachineIx, Vec<Entry>> = BTreeMap::new();
+            for b in &plan {
+                let task = TaskIx {
+                    job: b.job,
+                    leg: b.leg,
+                };
+                add.entry(b.machine)
+                    .or_default()
+                    .push(Entry { task, attempt });
+            }
+            let blocks: BTreeSet<BlockId> = add
+                .keys()
+                .filter_map(|m| Some(self.view.machines.get(m)?.block))
+                .take(ops)
+                .collect();
+            let mut edits = BTreeMap::new();
+            let mut total = 0;
+            let mut over = None;
+            for id in blocks {
+                let record = self.view.block_record(id, |ix, m| {
+                    let new = add.get(&ix).map_or(&[][..], Vec::as_slice);
+                    m.queue.iter().chain(new).copied().collect()
+                });
+                let size = serde_json::to_string(&record).map_or(0, |s| s.len());
+                total += size;
+                if size > self.settings.value_bytes() || total > 56_000 {
+                    over = Some(id);
+                }
+                edits.insert(id, record);
+            }
+            let Some(id) = over else {
+                for b in &plan {
+                    debug!(
+                        leg = format!("{}/{}", self.view.names.jobs.name(b.job), b.leg),
+                        rig = self.view.names.machines.name(b.machine),
+                        attempt,
+                        "binding"
+                    );
+                }
+                self.counters.bound += plan.len() as u64;
+                return self.edit_blocks(edits);
+            };
+            // Too much for one value: the block gets half as many new tasks this time.
+            let of_block = |b: &queue::Binding| {
+                self.view
+                    .machines
+                    .get(&b.machine)
+                    .is_some_and(|m| m.block == id)
+            };
+            let keep = plan.iter().filter(|b| of_block(b)).count() / 2;
+            let mut seen = 0;
+            plan.retain(|b| {
+                let of = of_block(b);
+                seen += usize::from(of);
+                !of || seen <= keep
+            });
+            if plan.is_empty() {
+                warn!(block = id.0, "a block's value is full");
+                return None;
+            }
+        }
+    }
+
+    /// CPUs that each team may still use within its guarantee.
+    fn guaranteed_left(&self) -> HashMap<crate::names::TeamIx, f64> {
+        let room = self.team_room();
+        self.settings
+            .platform
+            .settings
+            .teams
+            .iter()
+            .filter_map(|t| {
+                let ix = self.view.names.teams.get(&t.name)?;
+                let left = room.get(&ix)?.cpus;
+                Some((ix, t.cpus - (t.cpus_max - left)))
+            })
+            .collect()
+    }
+
+    /// Moves jobs that are over out of the watched part.
+    fn plan_archive(&mut self, now: Ms) -> Option<Txn> {
+        if now < self.lead.next_archive {
+            return None;
+        }
+        self.lead.next_archive = now.plus(4000);
+        let most = (self.settings.platform.settings.state.txn_ops / 2).min(4);
+        let over: Vec<JobIx> = self
+            .view
+            .jobs
+            .iter()
+            .filter(|(ix, j)| j.status != JobStatus::Pending && !self.view.is_bound(**ix))
+            .map(|(&ix, _)| ix)
+            .take(most)
+            .collect();
+        if over.is_empty() {
+            return None;
+        }
+        let mut txn = Txn::default();
+        for ix in over {
+            let job = &self.view.jobs[&ix];
+            let name = self.view.names.jobs.name(ix);
+            let key = job_key(name);
+            txn.guards.push(self.guard(&key));
+            let record = job.record(job.done.clone(), job.status);
+            txn.then.push(put(&past_key(name), &record, None));
+            txn.then.push(Change::Drop { drop: key });
+        }
+        Some(txn)
+    }
+
+    // ---- cloud ------------------------------------------------------------------------------
+
+    fn tick_cloud(&mut self, now: Ms, term: Term, out: &mut Vec<Action>) {
+        if !self.catalog_known() {
+            return;
+        }
+        if now >= self.lead.next_list && !self.lead.list_busy {
+            self.lead.list_busy = true;
+            let lag = self.settings.platform.settings.cloud.list_lag_s;
+            self.lead.next_list = now.plus((lag.clamp(2.0, 10.0) * 1000.0) as u64);
+            out.push(Action::List);
+        }
+        let stuck: Vec<Rental> = self
+            .lead
+            .renting
+            .values_mut()
+            .filter(|(_, at)| now >= *at)
+            .map(|(r, at)| {
+                *at = now.plus(10_000);
+                r.clone()
+            })
+            .collect();
+        out.extend(stuck.into_iter().map(Action::Rent));
+        if now < self.lead.next_fleet {
+            return;
+        }
+        self.lead.next_fleet = now.plus(1000);
+        self.give_up_machines(now);
+        let (demand, fleet) = (self.demand(), self.fleet(now));
+        let rules = Rules {
+            horizon_s: self.settings.options.fleet_horizon_s,
+            idle_s: self.settings.options.fleet_idle_s,
+            most: self.settings.options.fleet_most as usize,
+            charge_s: LEAST_CHARGE_S,
+        };
+        // The replica must show what is bound before idleness means anything.
+        if self.grace_over(now) {
+            for ix in fleet::give_back(&demand, &fleet, &rules) {
+                self.lead.leave.insert(ix);
+            }
+        }
+        if self.lead.renting.is_empty() && self.lead.place.is_empty() {
+            let offers = self.offers();
+            let refused = &self.lead.refused;
+            let orders = fleet::rent(&demand, &fleet, &offers, &rules, |f, z, s| {
+                refused.get(&(f, z, s)).is_none_or(|&until| now >= until)
+            });
+            for o in orders.into_iter().take(4) {
+                self.lead.bookings += 1;
+                let rental = Rental {
+                    booking: format!("b-{}-{}", term.0, self.lead.bookings),
+                    frame: self.view.names.frames.name(o.frame).to_owned(),
+                    yard: self.view.names.zones.name(o.zone).to_owned(),
+                    loaners: o.spot,
+                    number: o.number.min(MOST_RENTED),
+                };
+                info!(
+                    booking = rental.booking,
+                    frame = rental.frame,
+                    zone = rental.yard,
+                    spot = o.spot,
+                    number = rental.number,
+                    "renting"
+                );
+                let at = now.plus(10_000);
+                let name = rental.booking.clone();
+                self.lead.renting.insert(name, (rental.clone(), at));
+                out.push(Action::Rent(rental));
+            }
+        }
+        if !self.lead.returning {
+            let names: Vec<String> = self
+                .view
+                .machines
+                .iter()
+                .filter(|(ix, m)| {
+                    !self.lead.gone.contains(ix)
+                        && ((m.leaving && m.queue.is_empty()) || self.is_dead(**ix, now))
+                })
+                .map(|(&ix, _)| self.view.names.machines.name(ix).to_owned())
+                .take(100)
+                .collect();
+            if !names.is_empty() {
+                info!(rigs = names.join(" "), "returning");
+                self.lead.returning = true;
+                out.push(Action::Return(names));
+            }
+        }
+    }
+
+    /// Whether a machine is better returned than waited for: the answer to the return proves
+    /// that it and everything on it are gone.
+    fn is_dead(&self, ix: MachineIx, now: Ms) -> bool {
+        let Some(m) = self.view.machines.get(&ix) else {
+            return false;
+        };
+        let Some(frame) = self.frames.get(&m.frame) else {
+            return false;
+        };
+        if !self.grace_over(now) {
+            return false;
+        }
+        let listed = self.lead.listed.get(&ix);
+        if listed.is_some_and(|l| l.failed) {
+            return true;
+        }
+        let missing = listed.is_some_and(|l| l.missing >= 2);
+        let seen = self.lead.first_seen.get(&ix).map_or(0, |&t| now.since(t));
+        let lost = self.settings.worker_gone_ms() + 8000;
+        match self.machine_info(ix, now) {
+            Some(i) => match i.age_ms {
+                Some(age) => age > lost || (missing && age > self.settings.worker_gone_ms()),
+                None => {
+                    let held = listed.map_or(seen, |l| now.since(l.rented_at));
+                    let patience = (frame.boot_s * 3.5 * 1000.0) as u64 + 20_000;
+                    (missing && seen > 20_000) || (held > patience && seen > lost)
+                }
+            },
+            None => false,
+        }
+    }
+
+    fn give_up_machines(&mut self, now: Ms) {
+        let sick: Vec<MachineIx> = self
+            .view
+            .machines
+            .keys()
+            .copied()
+            .filter(|&ix| self.machine_info(ix, now).is_some_and(|i| i.sick))
+            .collect();
+        self.lead.leave.extend(sick);
+    }
+
+    fn offers(&self) -> Vec<Offer> {
+        let mut offers: Vec<Offer> = self
+            .frames
+            .iter()
+            .map(|(&frame, f)| Offer {
+                frame,
+                size: Room {
+                    cpus: f.vcpus,
+                    gpus: f.gpus,
+                    ram: f.ram_gb,
+                },
+                zones: f
+                    .yards
+                    .iter()
+                    .filter_map(|y| self.view.names.zones.get(y))
+                    .collect(),
+                price: f.price,
+                spot_price: f.market_price,
+                boot_s: f.boot_s,
+            })
+            .collect();
+        offers.sort_by_key(|o| o.frame);
+        offers
+    }
+
+    fn demand(&self) -> Vec<Demand> {
+        let mut room: HashMap<_, f64> = self
+            .settings
+            .platform
+            .settings
+            .teams
+            .iter()
+            .filter_map(|t| Some((self.view.names.teams.get(&t.name)?, t.cpus_max)))
+            .collect();
+        let mut jobs: Vec<(&JobIx, &Job)> = self
+            .view
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.status == JobStatus::Pending)
+            .collect();
+        jobs.sort_by_key(|(ix, j)| (j.spec.urgency, **ix));
+        let mut out = Vec::new();
+        for (_, job) in jobs {
+            let left = f64::from(job.spec.legs.saturating_sub(job.done.len()));
+            let Some(room) = room.get_mut(&job.team) else {
+                continue;
+            };
+            let cpus = job.spec.vcpus.max(1e-3);
+            let tasks = left.min((*room / cpus).floor().max(0.0));
+            *room -= tasks * cpus;
+            out.push(Demand {
+                needs: needs_of(job),
+                tasks,
+                work: left * cpus * self.run_s(job),
+            });
+        }
+        out
+    }
+
+    fn fleet(&self, now: Ms) -> Vec<Rented> {
+        let mut out = Vec::new();
+        for ix in self.view.machines_sorted() {
+            let m = &self.view.machines[&ix];
+            let (Some(size), Some(frame)) = (self.size(m), self.frames.get(&m.frame)) else {
+                continue;
+            };
+            let info = self.machine_info(ix, now);
+            let going = info
+                .as_ref()
+                .is_some_and(|i| i.recall_s.is_some() || i.sick);
+            if m.leaving || going || self.lead.leave.contains(&ix) || self.is_dead(ix, now) {
+                continue;
+            }
+            let up = info.is_some_and(|i| i.age_ms.is_some());
+            let idle = self.lead.idle_since.get(&ix).map(|&t| now.since(t));
+            let seen = self.lead.first_seen.get(&ix).map_or(0, |&t| now.since(t));
+            let held = self
+                .lead
+                .listed
+                .get(&ix)
+                .map_or(seen, |l| now.since(l.rented_at));
+            out.push(Rented {
+                machine: ix,
+                frame: m.frame,
+                zone: m.zone,
+                spot: m.spot,
+                size,
+                price: if m.spot {
+                    frame.market_price
+                } else {
+                    frame.price
+                },
+                idle_s: idle.filter(|_| up).map(|i| i as f64 / 1000.0),
+                held_s: held as f64 / 1000.0,
+            });
+        }
+        out
+    }
+
+    /// The cloud's list arrived, or did not.
+    pub fn on_list(&mut self, list: Option<Vec<ListedRig>>, now: Ms) {
+        self.lead.list_busy = false;
+        let Some(list) = list else { return };
+        if self.leads().is_none() {
+            return;
+        }
+        let mut shown: HashSet<MachineIx> = HashSet::new();
+        for rig in list {
+            let known = self.view.names.machines.get(&rig.name);
+            let here = known.filter(|m| self.view.machines.contains_key(m));
+            match here {
+                Some(ix) => {
+                    shown.insert(ix);
+                    let rented_at = Ms(now.0.saturating_sub((rig.held_s * 1000.0) as u64));
+                    let l = self.lead.listed.entry(ix).or_insert(Listed {
+                        rented_at,
+                        failed: false,
+                        missing: 0,
+                    });
+                    l.missing = 0;
+                    l.failed = rig.status == "failed";
+                }
+                // Rented by an earlier leader, or late: it is used or goes back in time.
+                None => {
+                    if !self.lead.removed.contains_key(&rig.name) {
+                        let record = new_machine(&rig.frame, &rig.yard, rig.loaners);
+                        self.lead.place.entry(rig.name).or_insert(record);
+                    }
+                }
+            }
+        }
+        for (ix, l) in &mut self.lead.listed {
+            if !shown.contains(ix) {
+                l.missing += 1;
+            }
+        }
+        let there = &self.view.machines;
+        self.lead.listed.retain(|m, _| there.contains_key(m));
+    }
+
+    /// A rental was answered: the machines, or none if it was refused, or no answer.
+    pub fn on_rented(&mut self, rental: &Rental, answer: Option<Vec<String>>, sure: bool, now: Ms) {
+        if !self.lead.renting.contains_key(&rental.booking) {
+            return;
+        }
+        if !sure {
+            // The same booking again yields the same machines.
+            if let Some(r) = self.lead.renting.get_mut(&rental.booking) {
+                r.1 = now.plus(1500);
+            }
+            return;
+        }
+        self.lead.renting.remove(&rental.booking);
+        let got = answer.unwrap_or_default();
+        info!(
+            booking = rental.booking,
+            asked = rental.number,
+            got = got.len(),
+            "rented"
+        );
+        if (got.len() as u32) < rental.number {
+            let frame = self.view.names.frames.get(&rental.frame);
+            let zone = self.view.names.zones.get(&rental.yard);
+            if let (Some(frame), Some(zone)) = (frame, zone) {
+                let wait = (self.settings.options.fleet_refused_s * 1000.0) as u64;
+                let until = now.plus(wait + self.rng.random_range(0..wait / 2 + 1));
+                self.lead
+                    .refused
+                    .insert((frame, zone, rental.loaners), until);
+            }
+        }
+        self.lead.next_fleet = now;
+        for name in got {
+            let record = new_machine(&rental.frame, &rental.yard, rental.loaners);
+            self.lead.place.insert(name, record);
+        }
+    }
+
+    /// A return was answered, or not.
+    pub fn on_returned(&mut self, rigs: &[String], ok: bool, now: Ms) {
+        self.lead.returning = false;
+        if self.leads().is_none() {
+            return;
+        }
+        if ok {
+            for rig in rigs {
+                if let Some(ix) = self.view.names.machines.get(rig) {
+                    self.lead.gone.insert(ix);
+                }
+            }
+        } else {
+            self.lead.next_fleet = now.plus(1000);
+        }
+    }
+
+    // ---- balancing --------------------------------------------------------------------------
+
+    fn factors(&self) -> Factors {
+        let o = &self.settings.options;
+        Factors {
+            tolerance: o.balance_tolerance,
+            pack: o.balance_pack,
+            targets: o.balance_targets as usize,
+            hops: o.balance_hops,
+        }
+    }
+
+    /// Begins a round when it is time: publishes totals, takes the mean, packs up and steals.
+    pub(crate) fn tick_balance(&mut self, now: Ms, out: &mut Vec<Action>) {
+        if now < self.next_round || !self.catalog_known() {
+            return;
+        }
+        let period = (self.settings.options.balance_period_s * 1000.0) as u64;
+        self.next_round = now.plus(period);
+        self.publish_loads(now, out);
+        let mut loads: HashMap<MachineIx, f64> = HashMap::new();
+        for (host, totals) in &self.view.loads {
+            for (&m, &l) in totals {
+                let held = self.view.holder(m).is_some_and(|(_, g)| g.host == *host);
+                if *host != self.me && held && self.available(m, now) {
+                    loads.insert(m, l);
+                }
+            }
+        }
+        let mine: Vec<MachineIx> = self.rt.keys().copied().collect();
+        for &m in &mine {
+            if self.available(m, now) {
+                loads.insert(m, self.queue_load(m, now));
+            }
+        }
+        let Some(levels) = Levels::new(&loads, &self.factors()) else {
+            return;
+        };
+        let mut round = Round {
+            levels,
+            packs: HashMap::new(),
+            steals: HashMap::new(),
+            loads,
+        };
+        let mut send: Vec<Agent> = Vec::new();
+        for &m in &mine {
+            let Some(&load) = round.loads.get(&m) else {
+                continue;
+            };
+            match levels.role(load) {
+                Role::Victim => {
+                    let packs = levels.packs(load, &self.movable(m));
+                    if packs.is_empty() {
+                        continue;
+                    }
+                    round.packs.insert(m, packs);
+                    if let Some(to) = balance::lightest(&round.loads, m) {
+                        send.push(Agent::Hint {
+                            to: self.view.names.machines.name(to).to_owned(),
+                            from: self.view.names.machines.name(m).to_owned(),
+                            load,
+                        });
+                    }
+                }
+                Role::Thief { steals } => {
+                    round.steals.insert(m, steals);
+                }
+                Role::Balanced => {}
+            }
+        }
+        let thieves: Vec<(MachineIx, u32)> = round.steals.iter().map(|(&m, &n)| (m, n)).collect();
+        self.lead.round = Some(round);
+        for (thief, steals) in thieves {
+            for _ in 0..steals.min(16) {
+                match self.steal(thief, 0, &[]) {
+                    Some(a) => send.push(a),
+                    None => break,
+                }
+            }
+        }
+        self.deliver(send, now);
+    }
+
+    /// The next hop of a steal: known non-victims are skipped until the cutoff.
+    fn steal(&mut self, thief: MachineIx, hops: u32, route: &[MachineIx]) -> Option<Agent> {
+        let factors = self.factors();
+        let round = self.lead.round.as_ref()?;
+        let far = f64::from(hops) > round.loads.len() as f64 * factors.hops;
+        let victims: HashMap<MachineIx, f64> = round
+            .loads
+            .iter()
+            .filter(|(_, l)| far || round.levels.role(**l) == Role::Victim)
+            .map(|(&m, &l)| (m, l))
+            .collect();
+        let to = balance::target(&victims, thief, hops, route, &factors, &mut self.rng)?;
+        let name = |m| self.view.names.machines.name(m).to_owned();
+        Some(Agent::Steal {
+            to: name(to),
+            thief: name(thief),
+            hops,
+            route: route.iter().map(|&m| name(m)).collect(),
+        })
+    }
+
+    /// Tasks that may move, with their loads, the last of the queue first.
+    fn movable(&self, ix: MachineIx) -> Vec<(Entry, f64)> {
+        let (Some(m), Some(rt)) = (self.view.machines.get(&ix), self.rt.get(&ix)) else {
+            return Vec::new();
+        };
+        // Only a machine that obeys our token is sure not to start what leaves its queue.
+        let Some(size) = self.size(m).filter(|_| rt.fenced && !rt.lost) else {
+            return Vec::new();
+        };
+        m.queue
+            .iter()
+            .rev()
+            .filter(|e| self.may_move(ix, e))
+            .filter_map(|e| {
+                let job = self.view.jobs.get(&e.task.job)?;
+                let load = self.run_s(job) * job.spec.vcpus / size.cpus.max(1e-6);
+                Some((*e, load))
+            })
+            .collect()
+    }
+
+    fn may_move(&self, ix: MachineIx, e: &Entry) -> bool {
+        let Some(rt) = self.rt.get(&ix) else {
+            return false;
+        };
+        rt.fenced
+            && !rt.lost
+            && !rt.legs.contains_key(&e.task)
+            && !rt.launched.contains(&e.task)
+            && !self.reserved.contains(e)
+            && !self.ended(e)
+            && self
+                .view
+                .jobs
+                .get(&e.task.job)
+                .is_some_and(|j| j.status == JobStatus::Pending)
+            && self
+                .view
+                .machines
+                .get(&ix)
+                .is_some_and(|m| m.queue.contains(e))
+    }
+
+    /// Carries agents' messages: within this controller at once, to others with the next news.
+    fn deliver(&mut self, send: Vec<Agent>, now: Ms) {
+        let mut queue: VecDeque<Agent> = send.into();
+        for _ in 0..2000 {
+            let Some(agent) = queue.pop_front() else {
+                break;
+            };
+            let to = match &agent {
+                Agent::Hint { to, .. } => {
+                    self.counters.hints += 1;
+                    to
+                }
+                Agent::Steal { to, hops, .. } => {
+                    self.counters.steals += u64::from(*hops == 0);
+                    self.counters.hops += u64::from(*hops > 0);
+                    to
+                }
+            };
+            let Some(ix) = self.view.names.machines.get(to) else {
+                continue;
+            };
+            let Some((_, holder)) = self.view.holder(ix) else {
+                continue;
+            };
+            if holder.host != self.me {
+                if self.outbox.len() < 500 {
+                    self.outbox.push((holder.host, agent));
+                }
+                continue;
+            }
+            queue.extend(self.receive(ix, agent, now));
+        }
+    }
+
+    /// A message from an agent of another controller.
+    pub(crate) fn on_agent(&mut self, agent: Agent, now: Ms) {
+        let to = match &agent {
+            Agent::Hint { to, .. } | Agent::Steal { to, .. } => to,
+        };
+        let Some(ix) = self.view.names.machines.get(to) else {
+            return;
+        };
+        if !self.rt.contains_key(&ix) || !self.has_authority(now) {
+            return;
+        }
+        let replies = self.receive(ix, agent, now);
+        self.deliver(replies, now);
+    }
+
+    fn receive(&mut self, ix: MachineIx, agent: Agent, now: Ms) -> Vec<Agent> {
+        match agent {
+            Agent::Hint { from, load, .. } => {
+                let Some(from) = self.view.names.machines.get(&from) else {
+                    return Vec::new();
+                };
+                let Some(round) = self.lead.round.as_mut() else {
+                    return Vec::new();
+                };
+                round.loads.insert(from, load);
+                // A thief that is told of a victim asks it at once, within its steals.
+                let left = round.steals.get_mut(&ix).filter(|n| **n > 0);
+                let Some(left) = left else { return Vec::new() };
+                *left -= 1;
+                let name = |m| self.view.names.machines.name(m).to_owned();
+                vec![Agent::Steal {
+                    to: name(from),
+                    thief: name(ix),
+                    hops: 0,
+                    route: Vec::new(),
+                }]
+            }
+            Agent::Steal {
+                thief, hops, route, ..
+            } => {
+                let Some(thief) = self.view.names.machines.get(&thief) else {
+                    return Vec::new();
+                };
+                if self.give_pack(ix, thief, now) {
+                    return Vec::new();
+                }
+                let mut known: Vec<MachineIx> = route
+                    .iter()
+                    .filter_map(|m| self.view.names.machines.get(m))
+                    .collect();
+                known.push(ix);
+                self.steal(thief, hops + 1, &known).into_iter().collect()
+            }
+        }
+    }
+
+    /// Gives the smallest pack that fits the thief.
+    fn give_pack(&mut self, victim: MachineIx, thief: MachineIx, now: Ms) -> bool {
+        let Some(packs) = self
+            .lead
+            .round
+            .as_mut()
+            .and_then(|r| r.packs.remove(&victim))
+        else {
+            return false;
+        };
+        let mut rest = Vec::new();
+        let mut given = None;
+        for pack in packs {
+            if given.is_none()
+                && pack.tasks.iter().all(|e| self.may_move(victim, e))
+                && self.pack_fits(victim, thief, &pack, now)
+            {
+                given = Some(pack);
+            } else {
+                rest.push(pack);
+            }
+        }
+        if let Some(round) = self.lead.round.as_mut() {
+            round.packs.insert(victim, rest);
+        }
+        let Some(pack) = given else { return false };
+        // From here on the tasks are not started, until the move is settled.
+        self.reserved.extend(&pack.tasks);
+        self.moves.push(Move {
+            victim,
+            thief,
+            entries: pack.tasks,
+        });
+        true
+    }
+
+    fn pack_fits(&self, victim: MachineIx, thief: MachineIx, pack: &Pack<Entry>, now: Ms) -> bool {
+        if victim == thief || !self.available(thief, now) {
+            return false;
+        }
+        let (Some(from), Some(to)) = (
+            self.view.machines.get(&victim),
+            self.view.machines.get(&thief),
+        ) else {
+            return false;
+        };
+        let Some(size) = self.size(to) else {
+            return false;
+        };
+        let mut used = self.used(thief);
+        let coming = self.moves.iter().filter(|m| m.thief == thief);
+        for e in coming.flat_map(|m| &m.entries).chain(&pack.tasks) {
+            if let Some(job) = self.view.jobs.get(&e.task.job) {
+                used.add(&needs_of(job).room, 1.0);
+            }
+        }
+        // What is stolen must be able to start where it goes.
+        used.fits(&size)
+            && pack.tasks.iter().all(|e| {
+                self.view.jobs.get(&e.task.job).is_some_and(|job| {
+                    let n = needs_of(job);
+                    let placed = n.same_place || n.zone_most.is_some();
+                    n.suits(to.frame, to.zone, to.spot, &size) && (!placed || from.zone == to.zone)
+                })
+            })
+    }
+
+    /// Whether some task of the machine is on it as the last report shows.
+    pub fn busy(&self, ix: MachineIx) -> bool {
+        self.rt
+            .get(&ix)
+            .is_some_and(|rt| rt.legs.values().any(|l| l.status != LegStatus::Ended))
+    }
+}
+
+fn new_machine(frame: &str, zone: &str, spot: bool) -> MachineRecord {
+    MachineRecord {
+        f: frame.to_owned(),
+        y: zone.to_owned(),
+        l: spot,
+        x: false,
+        q: Vec::new(),
+    }
+}
--- /dev/null
+++ b/src/names.rs
@@ -0,0 +1,124 @@
+//! Names become dense indices at the door; inside, everything is an index.
+
+use std::collections::HashMap;
+use std::marker::PhantomData;
+
+/// An index handed out by an [`Interner`].
+pub trait Index: Copy + Eq + std::hash::Hash {
+    /// Wraps a raw slot number.
+    fn from_raw(raw: u32) -> Self;
+    /// The raw slot number.
+    fn raw(self) -> usize;
+}
+
+macro_rules! index {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub struct $name(u32);
+        impl Index for $name {
+            fn from_raw(raw: u32) -> Self { Self(raw) }
+            fn raw(self) -> usize { self.0 as usize }
+        }
+    )*};
+}
+
+index! {
+    /// A job.
+    JobIx;
+    /// A machine.
+    MachineIx;
+    /// A team.
+    TeamIx;
+    /// A class of jobs.
+    ClassIx;
+    /// A machine type.
+    FrameIx;
+    /// A zone.
+    ZoneIx;
+    /// An image.
+    ImageIx;
+    /// A controller.
+    HostIx;
+}
+
+/// Maps names to indices; freed slots are used again, so memory follows what is alive.
+#[derive(Debug)]
+pub struct Interner<I> {
+    by_name: HashMap<Box<str>, u32>,
+    names: Vec<Option<Box<str>>>,
+    free: Vec<u32>,
+    kind: PhantomData<I>,
+}
+
+impl<I> Default for Interner<I> {
+    fn default() -> Self {
+        Self {
+            by_name: HashMap::new(),
+            names: Vec::new(),
+            free: Vec::new(),
+            kind: PhantomData,
+        }
+    }
+}
+
+impl<I: Index> Interner<I> {
+    /// The index of `name`, made if it has none.
+    pub fn intern(&mut self, name: &str) -> I {
+        if let Some(&raw) = self.by_name.get(name) {
+            return I::from_raw(raw);
+        }
+        let raw = self.free.pop().unwrap_or_else(|| {
+            self.names.push(None);
+            (self.names.len() - 1) as u32
+        });
+        self.names[raw as usize] = Some(name.into());
+        self.by_name.insert(name.into(), raw);
+        I::from_raw(raw)
+    }
+
+    /// The index of `name`, if it has one.
+    pub fn get(&self, name: &str) -> Option<I> {
+        self.by_name.get(name).map(|&raw| I::from_raw(raw))
+    }
+
+    /// The name behind an index; empty for one that was released.
+    pub fn name(&self, ix: I) -> &str {
+        self.names
+            .get(ix.raw())
+            .and_then(|n| n.as_deref())
+            .unwrap_or("")
+    }
+
+    /// Gives the slot back. The caller holds no copy of the index any more.
+    pub fn release(&mut self, ix: I) {
+        if let Some(name) = self.names.get_mut(ix.raw()).and_then(Option::take) {
+            self.by_name.remove(&name);
+            self.free.push(ix.raw() as u32);
+        }
+    }
+
+    /// Number of slots ever made at one time; indices are below it.
+    pub fn slots(&self) -> usize {
+        self.names.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn indices_are_dense_and_slots_come_back() {
+        let mut names = Interner::<JobIx>::default();
+        let a = names.intern("wk-1");
+        let b = names.intern("wk-2");
+        assert_eq!(names.intern("wk-1"), a);
+        assert_eq!((a.raw(), b.raw()), (0, 1));
+        names.release(a);
+        assert_eq!(names.get("wk-1"), None);
+        assert_eq!(names.name(a), "");
+        assert_eq!(names.intern("wk-3").raw(), 0);
+        assert_eq!(names.slots(), 2);
+    }
+}
--- /dev/null
+++ b/src/queue.rs
@@ -0,0 +1,355 @@
+//! Binding: which unbound task joins which machine's queue. Pure.
+
+use crate::names::{FrameIx, ImageIx, JobIx, MachineIx, TeamIx, ZoneIx};
+use rand::Rng;
+use rand::seq::index;
+use std::collections::{HashMap, HashSet};
+
+/// CPUs, GPUs and memory.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Room {
+    /// CPUs.
+    pub cpus: f64,
+    /// GPUs.
+    pub gpus: f64,
+    /// Memory.
+    pub ram: f64,
+}
+
+/// Sums of decimal amounts are compared with this much patience.
+const EPS: f64 = 1e-6;
+
+impl Room {
+    /// Whether `self` fits into `room`.
+    pub fn fits(&self, room: &Room) -> bool {
+        self.cpus <= room.cpus + EPS && self.gpus <= room.gpus + EPS && self.ram <= room.ram + EPS
+    }
+
+    /// Adds `n` times `other`.
+    pub fn add(&mut self, other: &Room, n: f64) {
+        self.cpus += other.cpus * n;
+        self.gpus += other.gpus * n;
+        self.ram += other.ram * n;
+    }
+
+    /// What is left of `self` without `other`.
+    pub fn minus(&self, other: &Room) -> Room {
+        let mut r = *self;
+        r.add(other, -1.0);
+        r
+    }
+
+    /// `self` enlarged by a factor.
+    pub fn times(&self, by: f64) -> Room {
+        Room {
+            cpus: self.cpus * by,
+            gpus: self.gpus * by,
+            ram: self.ram * by,
+        }
+    }
+}
+
+/// A machine that may take tasks.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    /// The machine.
+    pub machine: MachineIx,
+    /// Type.
+    pub frame: FrameIx,
+    /// Zone.
+    pub zone: ZoneIx,
+    /// Spot.
+    pub spot: bool,
+    /// What it has.
+    pub size: Room,
+    /// What its bound tasks take, started or not.
+    pub used: Room,
+    /// Seconds of work per CPU in its queue.
+    pub load: f64,
+    /// Image fetch rate.
+    pub fetch_gb_per_s: f64,
+    /// Images it is known to have.
+    pub warm: HashSet<ImageIx>,
+}
+
+/// What a job demands of the machines of its tasks.
+#[derive(Debug, Clone)]
+pub struct Needs {
+    /// Room of one task.
+    pub room: Room,
+    /// Allowed types.
+    pub frames: Option<Vec<FrameIx>>,
+    /// The only zone.
+    pub zone: Option<ZoneIx>,
+    /// Spot permitted.
+    pub spot: bool,
+    /// All in one zone.
+    pub same_place: bool,
+    /// Most tasks in one zone, for a spread job.
+    pub zone_most: Option<u32>,
+}
+
+impl Needs {
+    /// Whether type, zone, kind and size of a machine suit a task, its other tasks aside.
+    pub fn suits(&self, frame: FrameIx, zone: ZoneIx, spot: bool, size: &Room) -> bool {
+        (self.spot || !spot)
+            && self.zone.is_none_or(|z| z == zone)
+            && self.frames.as_ref().is_none_or(|f| f.contains(&frame))
+            && self.room.fits(size)
+    }
+
+    /// Whether a zone suits, given how many of the job's tasks are bound in each.
+    pub fn zone_suits(&self, zone: ZoneIx, bound: &HashMap<ZoneIx, u32>) -> bool {
+        let elsewhere = || bound.iter().any(|(&z, &n)| z != zone && n > 0);
+        let here = || bound.get(&zone).copied().unwrap_or(0);
+        !(self.same_place && elsewhere()) && self.zone_most.is_none_or(|most| here() < most)
+    }
+}
+
+/// A job with unbound tasks, most pressing first in the list given to [`plan`].
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The job.
+    pub job: JobIx,
+    /// Team.
+    pub team: TeamIx,
+    /// Image.
+    pub image: ImageIx,
+    /// Size of the image.
+    pub image_gb: f64,
+    /// Demands.
+    pub needs: Needs,
+    /// Expected seconds of a task.
+    pub run_s: f64,
+    /// Unbound tasks in ascending order, as many as may be bound now.
+    pub tasks: Vec<u32>,
+    /// Bound tasks by zone.
+    pub zones: HashMap<ZoneIx, u32>,
+}
+
+/// A decision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Binding {
+    /// Where.
+    pub machine: MachineIx,
+    /// Job.
+    pub job: JobIx,
+    /// Task.
+    pub leg: u32,
+}
+
+/// Bounds of one plan.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Unstarted work a queue may hold, as a part of the machine.
+    pub ahead: f64,
+    /// Machines looked at for one task when there are more.
+    pub sample: usize,
+    /// Most bindings.
+    pub most: usize,
+}
+
+/// Binds tasks to the lightest fitting queues while their teams have room.
+pub fn plan(
+    slots: &mut [Slot],
+    jobs: &mut [Candidate],
+    teams: &mut HashMap<TeamIx, Room>,
+    limits: Limits,
+    rng: &mut impl Rng,
+) -> Vec<Binding> {
+    let mut out = Vec::new();
+    for job in jobs {
+        let Some(team) = teams.get_mut(&job.team) else {
+            continue;
+        };
+        let mut taken = 0;
+        for &leg in &job.tasks {
+            if out.len() >= limits.most || !within(&job.needs.room, team) {
+                break;
+            }
+            let Some(at) = choose(slots, job, limits, rng) else {
+                break;
+            };
+            let slot = &mut slots[at];
+            slot.used.add(&job.needs.room, 1.0);
+            slot.load += job.run_s * job.needs.room.cpus / slot.size.cpus.max(EPS);
+            slot.warm.insert(job.image);
+            *job.zones.entry(slot.zone).or_default() += 1;
+            team.add(&job.needs.room, -1.0);
+            out.push(Binding {
+                machine: slot.machine,
+                job: job.job,
+                leg,
+            });
+            taken += 1;
+        }
+        job.tasks.drain(..taken);
+    }
+    out
+}
+
+/// Memory has no team limit.
+fn within(need: &Room, left: &Room) -> bool {
+    need.cpus <= left.cpus + EPS && need.gpus <= left.gpus + EPS
+}
+
+fn choose(slots: &[Slot], job: &Candidate, limits: Limits, rng: &mut impl Rng) -> Option<usize> {
+    let score = |slot: &Slot| -> Option<(f64, f64)> {
+        let needs = &job.needs;
+        if !needs.suits(slot.frame, slot.zone, slot.spot, &slot.size)
+            || !needs.zone_suits(slot.zone, &job.zones)
+        {
+            return None;
+        }
+        let wait = if needs.room.fits(&slot.size.minus(&slot.used)) {
+            0.0
+        } else if needs
+            .room
+            .fits(&slot.size.times(1.0 + limits.ahead).minus(&slot.used))
+        {
+            // Started only when something before it ends.
+            5.0 + slot.load
+        } else {
+            return None;
+        };
+        let fetch = if slot.warm.contains(&job.image) {
+            0.0
+        } else {
+            job.image_gb / slot.fetch_gb_per_s.max(0.01)
+        };
+        Some((wait + fetch, slot.load))
+    };
+    let best = |indices: &mut dyn Iterator<Item = usize>| {
+        indices
+            .filter_map(|i| Some((score(&slots[i])?, i)))
+            .min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal))
+            .map(|(_, i)| i)
+    };
+    if slots.len() > limits.sample {
+        let picks = index::sample(rng, slots.len(), limits.sample);
+        if let Some(at) = best(&mut picks.into_iter()) {
+            return Some(at);
+        }
+    }
+    best(&mut (0..slots.len()))
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+    use crate::names::Index;
+    use rand::SeedableRng;
+    use rand::rngs::SmallRng;
+
+    pub(crate) fn slot(machine: u32, zone: u32, cpus: f64) -> Slot {
+        Slot {
+            machine: MachineIx::from_raw(machine),
+            frame: FrameIx::from_raw(0),
+            zone: ZoneIx::from_raw(zone),
+            spot: false,
+            size: Room {
+                cpus,
+                gpus: 0.0,
+                ram: cpus * 4.0,
+            },
+            used: Room::default(),
+            load: 0.0,
+            fetch_gb_per_s: 0.5,
+            warm: HashSet::new(),
+        }
+    }
+
+    pub(crate) fn needs() -> Needs {
+        Needs {
+            room: Room {
+                cpus: 1.0,
+                gpus: 0.0,
+                ram: 1.0,
+            },
+            frames: None,
+            zone: None,
+            spot: true,
+            same_place: false,
+            zone_most: None,
+        }
+    }
+
+    fn job(n: u32, needs: Needs) -> Candidate {
+        Candidate {
+            job: JobIx::from_raw(0),
+            team: TeamIx::from_raw(0),
+            image: ImageIx::from_raw(0),
+            image_gb: 1.0,
+            needs,
+            run_s: 10.0,
+            tasks: (0..n).collect(),
+            zones: HashMap::new(),
+        }
+    }
+
+    fn run(slots: &mut [Slot], job: Candidate, cpus: f64) -> Vec<usize> {
+        let mut teams = HashMap::from([(
+            TeamIx::from_raw(0),
+            Room {
+                cpus,
+                ..Room::default()
+            },
+        )]);
+        let limits = Limits {
+            ahead: 0.5,
+            sample: 16,
+            most: 100,
+        };
+        let mut rng = SmallRng::seed_from_u64(1);
+        plan(slots, &mut [job], &mut teams, limits, &mut rng)
+            .iter()
+            .map(|b| b.machine.raw())
+            .collect()
+    }
+
+    #[test]
+    fn bound_tasks_count_against_the_team_limit() {
+        let mut slots = [slot(0, 0, 8.0), slot(1, 0, 8.0)];
+        assert_eq!(run(&mut slots, job(9, needs()), 3.0).len(), 3);
+    }
+
+    #[test]
+    fn a_queue_takes_what_starts_at_once_and_a_little_ahead() {
+        let mut slots = [slot(0, 0, 4.0)];
+        assert_eq!(run(&mut slots, job(20, needs()), 99.0).len(), 6);
+    }
+
+    #[test]
+    fn tasks_go_where_their_image_is_and_then_to_the_lightest() {
+        let mut slots = [slot(0, 0, 2.0), slot(1, 0, 2.0)];
+        slots[1].warm.insert(ImageIx::from_raw(0));
+        assert_eq!(run(&mut slots, job(3, needs()), 99.0), [1, 1, 0]);
+    }
+
+    #[test]
+    fn places_that_a_job_forbids_stay_empty() {
+        let same = Needs {
+            same_place: true,
+            ..needs()
+        };
+        let mut slots = [slot(0, 0, 2.0), slot(1, 1, 8.0)];
+        let at = run(&mut slots, job(6, same), 99.0);
+        assert!(at.iter().all(|&m| m == at[0]), "{at:?}");
+
+        let spread = Needs {
+            zone_most: Some(2),
+            ..needs()
+        };
+        let mut slots = [slot(0, 0, 8.0), slot(1, 1, 1.0)];
+        let at = run(&mut slots, job(4, spread), 99.0);
+        assert_eq!(at.iter().filter(|&&m| m == 0).count(), 2);
+
+        let mut spot = slot(0, 0, 8.0);
+        spot.spot = true;
+        let ordinary = Needs {
+            spot: false,
+            ..needs()
+        };
+        assert!(run(&mut [spot], job(1, ordinary), 99.0).is_empty());
+    }
+}
--- /dev/null
+++ b/src/ranges.rs
@@ -0,0 +1,185 @@
+//! Sets of task numbers kept as sorted, disjoint ranges, written as `0-3,7,9-12`.
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
+use std::fmt;
+use std::str::FromStr;
+
+/// A set of task numbers. Ranges are half-open in memory and inclusive in text.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RangeSet {
+    parts: Vec<(u32, u32)>,
+}
+
+/// Text that is not a list of ranges.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+#[error("not a list of task ranges: {0:?}")]
+pub struct BadRanges(String);
+
+impl RangeSet {
+    /// The empty set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The set `0..n`.
+    pub fn all(n: u32) -> Self {
+        let mut set = Self::new();
+        set.insert_range(0, n);
+        set
+    }
+
+    /// Number of tasks in the set.
+    pub fn len(&self) -> u32 {
+        self.parts.iter().map(|&(lo, hi)| hi - lo).sum()
+    }
+
+    /// Whether the set holds nothing.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    /// Number of separate ranges, which decides how long the text is.
+    pub fn fragments(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Whether `task` belongs to the set.
+    pub fn contains(&self, task: u32) -> bool {
+        let at = self.parts.partition_point(|&(_, hi)| hi <= task);
+        self.parts.get(at).is_some_and(|&(lo, _)| lo <= task)
+    }
+
+    /// Adds one task.
+    pub fn insert(&mut self, task: u32) {
+        self.insert_range(task, task.saturating_add(1));
+    }
+
+    /// Adds `lo..hi`.
+    pub fn insert_range(&mut self, lo: u32, hi: u32) {
+        if lo >= hi {
+            return;
+        }
+        let first = self.parts.partition_point(|&(_, h)| h < lo);
+        let last = self.parts.partition_point(|&(l, _)| l <= hi);
+        let (mut lo, mut hi) = (lo, hi);
+        if first < last {
+            lo = lo.min(self.parts[first].0);
+            hi = hi.max(self.parts[last - 1].1);
+        }
+        self.parts.splice(first..last, [(lo, hi)]);
+    }
+
+    /// Takes one task out.
+    pub fn remove(&mut self, task: u32) {
+        let at = self.parts.partition_point(|&(_, hi)| hi <= task);
+        let Some(&(lo, hi)) = self.parts.get(at) else {
+            return;
+        };
+        if lo > task {
+            return;
+        }
+        let rest = [(lo, task), (task + 1, hi)];
+        self.parts
+            .splice(at..=at, rest.into_iter().filter(|(l, h)| l < h));
+    }
+
+    /// Adds every task of `other`.
+    pub fn union(&mut self, other: &RangeSet) {
+        for &(lo, hi) in &other.parts {
+            self.insert_range(lo, hi);
+        }
+    }
+
+    /// The tasks in ascending order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.parts.iter().flat_map(|&(lo, hi)| lo..hi)
+    }
+
+    /// The tasks of `0..n` that are absent from the set, in ascending order.
+    pub fn gaps(&self, n: u32) -> impl Iterator<Item = u32> + '_ {
+        let starts = std::iter::once(0).chain(self.parts.iter().map(|p| p.1));
+        let ends = self.parts.iter().map(|p| p.0).chain(std::iter::once(n));
+        starts
+            .zip(ends)
+            .flat_map(move |(lo, hi)| lo.min(n)..hi.min(n))
+    }
+}
+
+impl fmt::Display for RangeSet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, &(lo, hi)) in self.parts.iter().enumerate() {
+            if i > 0 {
+                f.write_str(",")?;
+            }
+            if hi - lo == 1 {
+                write!(f, "{lo}")?;
+            } else {
+                write!(f, "{lo}-{}", hi - 1)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for RangeSet {
+    type Err = BadRanges;
+
+    fn from_str(text: &str) -> Result<Self, BadRanges> {
+        let bad = || BadRanges(text.chars().take(40).collect());
+        let mut set = RangeSet::new();
+        for part in text.split(',').filter(|p| !p.is_empty()) {
+            let (lo, hi) = part.split_once('-').unwrap_or((part, part));
+            let lo: u32 = lo.parse().map_err(|_| bad())?;
+            let hi: u32 = hi.parse().map_err(|_| bad())?;
+            if hi < lo || hi == u32::MAX {
+                return Err(bad());
+            }
+            set.insert_range(lo, hi + 1);
+        }
+        Ok(set)
+    }
+}
+
+impl Serialize for RangeSet {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for RangeSet {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let text = std::borrow::Cow::<str>::deserialize(d)?;
+        text.parse().map_err(D::Error::custom)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ranges_merge_split_and_read_back() {
+        let mut set = RangeSet::new();
+        for task in [5, 1, 0, 7, 6, 2] {
+            set.insert(task);
+        }
+        assert_eq!(set.to_string(), "0-2,5-7");
+        set.remove(6);
+        assert_eq!(set.to_string(), "0-2,5,7");
+        assert_eq!(set.len(), 5);
+        assert!(set.contains(7) && !set.contains(6) && !set.contains(8));
+        assert_eq!(set.to_string().parse(), Ok(set.clone()));
+        assert_eq!(set.gaps(9).collect::<Vec<_>>(), [3, 4, 6, 8]);
+        assert_eq!(RangeSet::new().gaps(2).collect::<Vec<_>>(), [0, 1]);
+        set.insert_range(3, 10);
+        assert_eq!(set.to_string(), "0-9");
+        assert_eq!(set.gaps(9).count(), 0);
+    }
+
+    #[test]
+    fn text_that_is_no_range_is_refused() {
+        for text in ["x", "3-1", "1-", "-4", "4294967295"] {
+            assert!(text.parse::<RangeSet>().is_err(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/src/service.rs
@@ -0,0 +1,490 @@
+//! Actors that do the input and output around [`Core`].
+
+use crate::api::{self, Door, Shared};
+use crate::clock::{Clock, Ms, SystemClock};
+use crate::core::{Action, Core, Op, Outcome};
+use crate::jobs::Finals;
+use crate::settings::Settings;
+use crate::state::{LeaseAnswer, StateClient, StateError};
+use crate::view::ROOT;
+use crate::wire::{Catalog, ListedRig, PeerNews, Rental, RigList, Rigs, Txn};
+use actix::prelude::*;
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, map_config};
+use actix_web::dev::AppConfig;
+use awc::Client;
+use awc::http::StatusCode;
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng};
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::{debug, error, info};
+
+/// Interval of looking at what is due.
+const TICK: Duration = Duration::from_millis(100);
+/// Longest time that one watch waits, ms.
+const WATCH_MS: u64 = 1500;
+/// Least time between two watches, so that a burst of changes comes in one answer.
+const WATCH_GAP: Duration = Duration::from_millis(40);
+
+/// Something that went wrong before the service could start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address cannot be bound.
+    #[error("cannot listen on {addr}: {source}")]
+    Listen {
+        /// The address.
+        addr: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The HTTP service cannot be put together.
+    #[error("cannot start the HTTP service")]
+    Http,
+}
+
+/// The actor that carries out what [`Core`] decides.
+struct Controller {
+    shared: Arc<Shared>,
+    state: StateClient,
+    http: Client,
+    cloud: String,
+    peers: HashMap<String, String>,
+    peer_busy: Rc<Mutex<HashMap<String, u32>>>,
+}
+
+/// Asks the controller to look at what is due.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Kick;
+
+impl Actor for Controller {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        ctx.run_interval(TICK, |act, ctx| act.tick(ctx));
+        self.tick(ctx);
+    }
+}
+
+impl Handler<Kick> for Controller {
+    type Result = ();
+
+    fn handle(&mut self, _: Kick, ctx: &mut Context<Self>) {
+        self.tick(ctx);
+    }
+}
+
+impl Controller {
+    fn now(&self) -> Ms {
+        self.shared.now()
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        let (now, day) = (self.now(), self.shared.clock.day_ms());
+        let actions = self.shared.core.lock().tick(now, day);
+        for action in actions {
+            self.carry_out(action, ctx);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, ctx: &mut Context<Self>) {
+        let state = self.state.clone();
+        let sent = self.now();
+        match action {
+            Action::NewLease { life_ms } => {
+                let work = async move { state.lease(life_ms).await };
+                ctx.spawn(work.into_actor(self).map(move |a, act, ctx| {
+                    let now = act.now();
+                    {
+                        let mut core = act.shared.core.lock();
+                        match a {
+                            LeaseAnswer::Held(permit) => core.on_lease(permit, sent),
+                            _ => core.on_lease_failed(now),
+                        }
+                    }
+                    act.tick(ctx);
+                }));
+            }
+            Action::Renew { permit } => {
+                let work = async move { state.renew(permit).await };
+                ctx.spawn(work.into_actor(self).map(move |a, act, _| {
+                    let now = act.now();
+                    let mut core = act.shared.core.lock();
+                    match a {
+                        LeaseAnswer::Held(_) => core.on_renewed(permit, sent),
+                        LeaseAnswer::Gone => core.on_lease_gone(permit, now),
+                        LeaseAnswer::Failed => core.on_lease_failed(now),
+                    }
+                }));
+            }
+            Action::Commit { op, txn } => self.commit(op, txn, ctx),
+            Action::Peer { host, news } => {
+                let name = self
+                    .shared
+                    .core
+                    .lock()
+                    .view
+                    .names
+                    .hosts
+                    .name(host)
+                    .to_owned();
+                self.tell_peer(name, *news, ctx);
+            }
+            Action::Catalog => {
+                let call =
+                    get_json::<Catalog>(self.http.clone(), format!("{}/catalog", self.cloud));
+                ctx.spawn(call.into_actor(self).map(|a, act, _| {
+                    if let Some(catalog) = a {
+                        act.shared.core.lock().on_catalog(catalog);
+                    }
+                }));
+            }
+            Action::List => {
+                let call = list_machines(self.http.clone(), self.cloud.clone());
+                ctx.spawn(call.into_actor(self).map(|a, act, _| {
+                    let now = act.now();
+                    act.shared.core.lock().on_list(a, now);
+                }));
+            }
+            Action::Rent(rental) => {
+                let call = rent(self.http.clone(), self.cloud.clone(), rental.clone());
+                ctx.spawn(call.into_actor(self).map(move |(got, sure), act, ctx| {
+                    let now = act.now();
+                    act.shared.core.lock().on_rented(&rental, got, sure, now);
+                    act.tick(ctx);
+                }));
+            }
+            Action::Return(rigs) => {
+                let body = Rigs { rigs: rigs.clone() };
+                let url = format!("{}/machines/return", self.cloud);
+                let http = self.http.clone();
+                let call = async move { post_json(&http, url, &body).await };
+                ctx.spawn(call.into_actor(self).map(move |a, act, ctx| {
+                    let now = act.now();
+                    let ok = a.is_some_and(|(s, _)| s == StatusCode::OK);
+                    act.shared.core.lock().on_returned(&rigs, ok, now);
+                    act.tick(ctx);
+                }));
+            }
+        }
+    }
+
+    fn commit(&mut self, op: Op, txn: Txn, ctx: &mut Context<Self>) {
+        let state = self.state.clone();
+        let work = async move { state.commit(&txn, Duration::from_millis(1500)).await };
+        ctx.spawn(work.into_actor(self).map(move |outcome, act, ctx| {
+            let now = act.now();
+            act.shared.core.lock().on_commit(op, outcome, now);
+            if matches!(outcome, Outcome::Done(_)) {
+                act.tick(ctx);
+            }
+        }));
+    }
+
+    fn tell_peer(&mut self, name: String, news: PeerNews, ctx: &mut Context<Self>) {
+        let Some(addr) = self.peers.get(&name) else {
+            return;
+        };
+        // A peer that does not answer holds at most a few calls.
+        let busy = self.peer_busy.clone();
+        {
+            let mut busy = busy.lock();
+            let n = busy.entry(name.clone()).or_default();
+            if *n >= 3 {
+                return;
+            }
+            *n += 1;
+        }
+        let Ok(body) = rmp_serde::to_vec_named(&news) else {
+            return;
+        };
+        let call = self
+            .http
+            .post(format!("http://{addr}/peer"))
+            .timeout(Duration::from_millis(1500))
+            .send_body(body);
+        let work = async move {
+            let mut answer = call.await.ok()?;
+            let body = answer.body().limit(4 << 20).await.ok()?;
+            rmp_serde::from_slice::<PeerNews>(&body).ok()
+        };
+        ctx.spawn(work.into_actor(self).map(move |a, act, _| {
+            if let Some(n) = busy.lock().get_mut(&name) {
+                *n = n.saturating_sub(1);
+            }
+            if let Some(news) = a {
+                let now = act.now();
+                act.shared.core.lock().on_peer(news, now);
+            }
+        }));
+    }
+}
+
+async fn get_json<T: serde::de::DeserializeOwned>(http: Client, url: String) -> Option<T> {
+    let call = http.get(url).timeout(Duration::from_secs(3)).send();
+    let mut answer = call.await.ok()?.timeout(Duration::from_secs(3));
+    if answer.status() != StatusCode::OK {
+        return None;
+    }
+    let body = answer.body().limit(16 << 20).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+async fn post_json(
+    http: &Client,
+    url: String,
+    body: &impl serde::Serialize,
+) -> Option<(StatusCode, Vec<u8>)> {
+    let text = serde_json::to_vec(body).ok()?;
+    let call = http
+        .post(url)
+        .content_type("application/json")
+        .timeout(Duration::from_secs(3))
+        .send_body(text);
+    let mut answer = call.await.ok()?;
+    let body = answer.body().limit(1 << 20).await.ok()?;
+    Some((answer.status(), body.to_vec()))
+}
+
+/// Rents; the flag says whether the answer is certain.
+async fn rent(http: Client, cloud: String, rental: Rental) -> (Option<Vec<String>>, bool) {
+    match post_json(&http, format!("{cloud}/machines"), &rental).await {
+        Some((StatusCode::OK, body)) => match serde_json::from_slice::<Rigs>(&body) {
+            Ok(r) => (Some(r.rigs), true),
+            Err(_) => (None, false),
+        },
+        Some((StatusCode::SERVICE_UNAVAILABLE, body))
+            if String::from_utf8_lossy(&body).contains("no capacity") =>
+        {
+            (None, true)
+        }
+        Some((StatusCode::BAD_REQUEST, body)) => {
+            let text = String::from_utf8_lossy(&body).into_owned();
+            error!(
+                text,
+                booking = rental.booking,
+                "the cloud calls a rental malformed"
+            );
+            (None, true)
+        }
+        _ => (None, false),
+    }
+}
+
+async fn list_machines(http: Client, cloud: String) -> Option<Vec<ListedRig>> {
+    let mut all: Vec<ListedRig> = Vec::new();
+    loop {
+        let after = all.last().map(|r| format!("after={}&", r.name));
+        let url = format!("{cloud}/machines?{}limit=500", after.unwrap_or_default());
+        let page: RigList = get_json(http.clone(), url).await?;
+        let more = page.has_next && !page.rigs.is_empty();
+        all.extend(page.rigs);
+        if !more {
+            return Some(all);
+        }
+    }
+}
+
+/// The actor that follows the shared keys.
+struct Watcher {
+    shared: Arc<Shared>,
+    state: StateClient,
+    controller: Addr<Controller>,
+}
+
+impl Actor for Watcher {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        let (shared, state) = (self.shared.clone(), self.state.clone());
+        let controller = self.controller.clone();
+        ctx.spawn(follow(shared, state, controller).into_actor(self));
+    }
+}
+
+async fn follow(shared: Arc<Shared>, state: StateClient, controller: Addr<Controller>) {
+    let mut reread = true;
+    loop {
+        let sent = shared.now();
+        let problem = if reread {
+            match state.list(ROOT).await {
+                Ok((items, ledger)) => {
+                    let now = shared.now();
+                    shared.core.lock().on_load(items, ledger, sent, now);
+                    reread = false;
+                    controller.do_send(Kick);
+                    None
+                }
+                Err(e) => Some(e),
+            }
+        } else {
+            let after = shared.core.lock().view.ledger;
+            match state.watch(ROOT, after, WATCH_MS).await {
+                Ok(list) => {
+                    let any = !list.news.is_empty();
+                    let now = shared.now();
+                    shared.core.lock().on_news(list, sent, now);
+                    if any {
+                        controller.do_send(Kick);
+                        actix_rt::time::sleep(WATCH_GAP).await;
+                    }
+                    None
+                }
+                Err(e) => Some(e),
+            }
+        };
+        match problem {
+            None => {}
+            Some(StateError::Compacted) => reread = true,
+            Some(e) => {
+                debug!(error = %e, "following the state service");
+                actix_rt::time::sleep(Duration::from_millis(300)).await;
+            }
+        }
+    }
+}
+
+/// Serves one listener on this thread.
+fn serve<F, S, B>(
+    listener: tokio::net::TcpListener,
+    app: F,
+    most: usize,
+    open: Rc<Cell<usize>>,
+) -> impl std::future::Future<Output = Result<(), StartError>>
+where
+    F: IntoServiceFactory<S, actix_http::Request> + 'static,
+    S: ServiceFactory<
+            actix_http::Request,
+            Config = AppConfig,
+            Response = actix_web::dev::ServiceResponse<B>,
+            Error = actix_web::Error,
+            InitError = (),
+        > + 'static,
+    S::Service: 'static,
+    S::Future: 'static,
+    B: actix_web::body::MessageBody + 'static,
+{
+    async move {
+        let factory = app.into_factory();
+        let http = actix_http::HttpService::build()
+            .keep_alive(Duration::from_secs(90))
+            .client_request_timeout(Duration::from_secs(10))
+            .client_disconnect_timeout(Duration::from_secs(2))
+            .h1(map_config(factory, |_| AppConfig::default()))
+            .tcp();
+        let service = http.new_service(()).await.map_err(|_| StartError::Http)?;
+        let service = Rc::new(service);
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    debug!(error = %e, "accepting");
+                    actix_rt::time::sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            };
+            if open.get() >= most {
+                // Closed at once: the load balancer goes on to another controller.
+                continue;
+            }
+            let _ = stream.set_nodelay(true);
+            open.set(open.get() + 1);
+            let (service, open) = (service.clone(), open.clone());
+            actix_rt::spawn(async move {
+                if let Err(e) = service.call(stream).await {
+                    debug!(error = %e, "connection ended");
+                }
+                open.set(open.get() - 1);
+            });
+        }
+    }
+}
+
+async fn listen(addr: &str) -> Result<tokio::net::TcpListener, StartError> {
+    let fail = |source| StartError::Listen {
+        addr: addr.to_owned(),
+        source,
+    };
+    let parsed: std::net::SocketAddr = addr
+        .parse()
+        .map_err(|e| fail(std::io::Error::new(std::io::ErrorKind::InvalidInput, e)))?;
+    let socket = match parsed {
+        std::net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4(),
+        std::net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6(),
+    }
+    .map_err(fail)?;
+    // A restarted controller takes its address over at once.
+    let _ = socket.set_reuseaddr(true);
+    socket.bind(parsed).map_err(fail)?;
+    socket.listen(1024).map_err(fail)
+}
+
+/// Runs the service until it is killed.
+pub async fn run(settings: Settings) -> Result<(), StartError> {
+    let public = listen(&settings.platform.public_addr).await?;
+    let back = listen(&settings.platform.back).await?;
+    let clock = SystemClock::default();
+    // Random choices need to differ between lives, not to be secret.
+    let seed = rand::rngs::SmallRng::from_os_rng().random::<u64>() ^ clock.day_ms().rotate_left(20);
+    let core = Core::new(settings.clone(), seed);
+    let shared = Arc::new(Shared {
+        core: Mutex::new(core),
+        finals: Mutex::new(Finals::default()),
+        clock: Box::new(clock),
+        latency: Mutex::new(
+            hdrhistogram::Histogram::new_with_bounds(1, 60_000_000, 2)
+                .expect("constant bounds are valid"),
+        ),
+    });
+    let connector = awc::Connector::new()
+        .timeout(Duration::from_millis(1000))
+        .limit(64);
+    let http = Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .finish();
+    let external = &settings.platform.external;
+    let state = StateClient::new(http.clone(), &external.state);
+    let door = Door {
+        shared: shared.clone(),
+        state: state.clone(),
+    };
+    let controller = Controller {
+        shared: shared.clone(),
+        state: state.clone(),
+        http,
+        cloud: format!("http://{}", external.cloud),
+        peers: settings
+            .platform
+            .known
+            .iter()
+            .map(|k| (k.host_name.clone(), k.endpoint.clone()))
+            .collect(),
+        peer_busy: Rc::default(),
+    }
+    .start();
+    Watcher {
+        shared,
+        state,
+        controller,
+    }
+    .start();
+    info!(
+        host = settings.platform.host_name,
+        public = settings.platform.public_addr,
+        lease_ms = settings.block_lease_ms(),
+        "started"
+    );
+    let open = Rc::new(Cell::new(0));
+    let most = 100_000;
+    let behind = serve(back, api::back(door.clone()), most, Rc::new(Cell::new(0)));
+    actix_rt::spawn(async move {
+        if let Err(e) = behind.await {
+            error!(error = %e, "the address behind is not served");
+        }
+    });
+    serve(public, api::public(door), most, open).await
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,540 @@
+//! Settings: the platform's TOML file, the operators' own XML file, and the times derived from both.
+
+use serde::Deserialize;
+use std::collections::HashMap;
+
+/// Settings that cannot be used. The text is one line and names what is wrong.
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum SettingsError {
+    /// The platform's file cannot be read as such.
+    #[error("settings file: {0}")]
+    Platform(String),
+    /// The operators' file is not the XML expected.
+    #[error("options file: {0}")]
+    Xml(String),
+    /// An element of the operators' file that does not exist.
+    #[error("options file: unknown element <{0}>")]
+    UnknownElement(String),
+    /// A value outside its range.
+    #[error("options file: <{element}> must be a number from {min} to {max}, not {found:?}")]
+    OutOfRange {
+        /// The element.
+        element: String,
+        /// Smallest value.
+        min: f64,
+        /// Largest value.
+        max: f64,
+        /// What stands there.
+        found: String,
+    },
+    /// The times leave no room for a lease on blocks.
+    #[error(
+        "settings file: workers.cancel_s ({cancel_s}) must exceed workers.lease_s ({lease_s}) by at least 5 s"
+    )]
+    NoLease {
+        /// Time allowed for a cancellation.
+        cancel_s: f64,
+        /// Lease of workers.
+        lease_s: f64,
+    },
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Known {
+    /// Name.
+    pub host_name: String,
+    /// Zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Its address for peers.
+    pub endpoint: String,
+}
+
+/// Services outside.
+#[derive(Debug, Clone, Deserialize)]
+pub struct External {
+    /// Cloud.
+    pub cloud: String,
+    /// State service.
+    pub state: String,
+}
+
+/// A team.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    /// Name.
+    pub name: String,
+    /// Guaranteed CPUs.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most CPUs.
+    pub cpus_max: f64,
+    /// Guaranteed GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most GPUs.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// Times of the workers.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    /// Interval of reports.
+    pub report_s: f64,
+    /// Lease of a worker.
+    pub lease_s: f64,
+    /// Time a cancellation has.
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Changes a second.
+    pub write_rps: f64,
+    /// Size of a value.
+    pub value_kb: f64,
+    /// Changes in a transaction.
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    /// Calls a second.
+    pub rps: f64,
+    /// Age of its lists.
+    pub list_lag_s: f64,
+}
+
+/// What the deployment promises and allows.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    /// Number of controllers.
+    pub count: usize,
+    /// Zones.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// Bound on the error of the time of day.
+    #[serde(default)]
+    pub clock_error_ms: f64,
+    /// Teams.
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    /// Workers.
+    pub workers: Workers,
+    /// State service.
+    pub state: StateLimits,
+    /// Cloud.
+    pub cloud: CloudLimits,
+}
+
+/// The platform's file.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Platform {
+    /// This controller's name.
+    pub host_name: String,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Address for users and workers.
+    pub public_addr: String,
+    /// Address for peers.
+    pub back: String,
+    /// The other controllers.
+    #[serde(default)]
+    pub known: Vec<Known>,
+    /// Services.
+    pub external: External,
+    /// The rest.
+    pub settings: Params,
+}
+
+impl Platform {
+    /// Reads the TOML text; unknown fields are ignored.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let one_line = |e: toml::de::Error| {
+            let at = e
+                .span()
+                .map(|s| text[..s.start.min(text.len())].matches('\n').count() + 1);
+            match at {
+                Some(line) => SettingsError::Platform(format!("line {line}: {}", e.message())),
+                None => SettingsError::Platform(e.message().to_owned()),
+            }
+        };
+        let platform: Platform = toml::from_str(text).map_err(one_line)?;
+        platform.check()?;
+        Ok(platform)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let bad = |what: &str| Err(SettingsError::Platform(what.to_owned()));
+        if self.host_name.is_empty() {
+            return bad("host_name is empty");
+        }
+        for (name, addr) in [
+            ("public_addr", &self.public_addr),
+            ("back", &self.back),
+            ("external.cloud", &self.external.cloud),
+            ("external.state", &self.external.state),
+        ]
+        .into_iter()
+        .chain(self.known.iter().map(|k| ("known.endpoint", &k.endpoint)))
+        {
+            if addr.parse::<std::net::SocketAddr>().is_err() {
+                return bad(&format!("{name}: {addr:?} is not an address with a port"));
+            }
+        }
+        let s = &self.settings;
+        for (name, v) in [
+            ("workers.report_s", s.workers.report_s),
+            ("workers.lease_s", s.workers.lease_s),
+            ("workers.cancel_s", s.workers.cancel_s),
+            ("state.rps", s.state.rps),
+            ("state.write_rps", s.state.write_rps),
+            ("state.value_kb", s.state.value_kb),
+            ("cloud.rps", s.cloud.rps),
+        ] {
+            if !(v.is_finite() && v > 0.0) {
+                return bad(&format!("{name} must be more than 0"));
+            }
+        }
+        if s.state.txn_ops < 4 {
+            return bad("state.txn_ops must be at least 4");
+        }
+        if s.teams
+            .iter()
+            .any(|t| !(t.cpus_max >= 0.0 && t.gpus_max >= 0.0))
+        {
+            return bad("teams: limits must not be negative");
+        }
+        let (cancel_s, lease_s) = (s.workers.cancel_s, s.workers.lease_s);
+        if cancel_s < lease_s + 5.0 {
+            return Err(SettingsError::NoLease { cancel_s, lease_s });
+        }
+        Ok(())
+    }
+}
+
+macro_rules! options {
+    ($($(#[$doc:meta])* $field:ident: $path:literal = $default:literal in $min:literal..=$max:literal;)*) => {
+        /// The operators' own settings, from the XML file.
+        #[derive(Debug, Clone, PartialEq)]
+        pub struct Options { $($(#[$doc])* pub $field: f64,)* }
+
+        impl Default for Options {
+            fn default() -> Self { Self { $($field: $default,)* } }
+        }
+
+        impl Options {
+            /// Every element: path, default, smallest and largest value.
+            pub const TABLE: &'static [(&'static str, f64, f64, f64)] = &[$(($path, $default, $min, $max),)*];
+
+            fn set(&mut self, path: &str, value: f64) {
+                match path { $($path => self.$field = value,)* _ => {} }
+            }
+        }
+    };
+}
+
+options! {
+    /// Seconds between rounds of balancing.
+    balance_period_s: "balance/period-s" = 5.0 in 1.0..=600.0;
+    /// Tolerance of a balanced queue, as a part of the mean.
+    balance_tolerance: "balance/tolerance" = 0.05 in 0.001..=1.0;
+    /// Load of a pack, as a part of the tolerance.
+    balance_pack: "balance/pack" = 0.4 in 0.01..=1.0;
+    /// Number of most loaded machines among which a thief picks.
+    balance_targets: "balance/targets" = 4.0 in 1.0..=64.0;
+    /// Hops after which a steal goes anywhere, as a part of the machines.
+    balance_hops: "balance/hops" = 0.25 in 0.0..=1.0;
+    /// Longest lease of a block, seconds.
+    block_lease_s: "blocks/lease-s" = 30.0 in 5.0..=600.0;
+    /// Most machines in a block.
+    block_machines: "blocks/machines" = 10.0 in 1.0..=64.0;
+    /// Unstarted work bound to a machine, as a part of its CPUs.
+    queue_ahead: "queues/ahead" = 0.25 in 0.0..=8.0;
+    /// Machines looked at for a binding when there are more.
+    queue_sample: "queues/sample" = 16.0 in 2.0..=1000.0;
+    /// Seconds of work that a rented CPU should find waiting.
+    fleet_horizon_s: "fleet/horizon-s" = 45.0 in 1.0..=3600.0;
+    /// Seconds that a machine stands idle before it is given back.
+    fleet_idle_s: "fleet/idle-s" = 8.0 in 0.0..=3600.0;
+    /// Seconds that a refused type and zone is left alone.
+    fleet_refused_s: "fleet/refused-s" = 15.0 in 1.0..=3600.0;
+    /// Most machines rented at a time.
+    fleet_most: "fleet/most" = 200.0 in 1.0..=1000.0;
+    /// Milliseconds between messages to a peer.
+    peers_period_ms: "peers/period-ms" = 700.0 in 100.0..=10000.0;
+    /// Seconds of silence after which a peer is suspected.
+    peers_silent_s: "peers/silent-s" = 2.5 in 0.5..=60.0;
+    /// Milliseconds that endings are gathered before they are written.
+    flush_ms: "writes/flush-ms" = 150.0 in 10.0..=5000.0;
+}
+
+impl Options {
+    /// Reads the XML text: `<quillbend>` with the elements of [`Options::TABLE`].
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        use quick_xml::events::Event;
+        let xml = |e: &dyn std::fmt::Display| SettingsError::Xml(e.to_string().replace('\n', " "));
+        let mut reader = quick_xml::Reader::from_str(text);
+        let mut path: Vec<String> = Vec::new();
+        let mut options = Options::default();
+        let mut seen: HashMap<String, String> = HashMap::new();
+        let mut depth_seen = false;
+        loop {
+            match reader.read_event().map_err(|e| xml(&e))? {
+                Event::Start(e) => {
+                    depth_seen = true;
+                    path.push(String::from_utf8_lossy(e.name().as_ref()).into_owned());
+                    Self::known(&path)?;
+                }
+                Event::Empty(e) => {
+                    depth_seen = true;
+                    path.push(String::from_utf8_lossy(e.name().as_ref()).into_owned());
+                    Self::known(&path)?;
+                    let at = path[1..].join("/");
+                    if Self::TABLE.iter().any(|t| t.0 == at) {
+                        seen.insert(at, String::new());
+                    }
+                    path.pop();
+                }
+                Event::End(_) => {
+                    let at = path.get(1..).unwrap_or(&[]).join("/");
+                    if Self::TABLE.iter().any(|t| t.0 == at) {
+                        seen.entry(at).or_default();
+                    }
+                    path.pop();
+                }
+                Event::Text(t) => {
+                    let text = t.unescape().map_err(|e| xml(&e))?;
+                    let text = text.trim();
+                    if !text.is_empty() {
+                        let at = path.get(1..).unwrap_or(&[]).join("/");
+                        if !Self::TABLE.iter().any(|t| t.0 == at) {
+                            return Err(SettingsError::Xml(format!(
+                                "text {text:?} outside a value"
+                            )));
+                        }
+                        seen.insert(at, text.to_owned());
+                    }
+                }
+                Event::Eof => break,
+                _ => {}
+            }
+        }
+        if !path.is_empty() || !depth_seen {
+            return Err(SettingsError::Xml("no complete <quillbend> element".into()));
+        }
+        for &(element, _, min, max) in Self::TABLE {
+            let Some(found) = seen.get(element) else {
+                continue;
+            };
+            match found.parse::<f64>() {
+                Ok(v) if v >= min && v <= max => options.set(element, v),
+                _ => {
+                    return Err(SettingsError::OutOfRange {
+                        element: element.into(),
+                        min,
+                        max,
+                        found: found.clone(),
+                    });
+                }
+            }
+        }
+        Ok(options)
+    }
+
+    fn known(path: &[String]) -> Result<(), SettingsError> {
+        let at = path[1..].join("/");
+        let fits = path[0] == "quillbend"
+            && (at.is_empty()
+                || Self::TABLE
+                    .iter()
+                    .any(|t| t.0 == at || t.0.starts_with(&format!("{at}/"))));
+        if fits {
+            Ok(())
+        } else {
+            Err(SettingsError::UnknownElement(path.join("/")))
+        }
+    }
+}
+
+/// Everything together, with derived times in milliseconds.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The platform's file.
+    pub platform: Platform,
+    /// The operators' file.
+    pub options: Options,
+}
+
+/// Clocks of two machines may diverge by this part; twice the stated bound, for two ends.
+const DRIFT: f64 = 0.001;
+
+impl Settings {
+    /// Puts both files together.
+    pub fn new(platform: Platform, options: Options) -> Self {
+        Self { platform, options }
+    }
+
+    /// Lease of blocks and of leadership at the state service.
+    ///
+    /// A holder cut off from the state service but not from its workers knows nothing of a
+    /// cancellation. Its authority and then the workers' lease must run out before `cancel_s`,
+    /// so the design's 30 s are an upper bound only.
+    pub fn block_lease_ms(&self) -> u64 {
+        let w = &self.platform.settings.workers;
+        let most = w.cancel_s - w.lease_s * (1.0 + DRIFT) - 1.5;
+        (self.options.block_lease_s.min(most) * 1000.0) as u64
+    }
+
+    /// How long a holder counts on its lease after it sent a renewal that succeeded.
+    pub fn authority_ms(&self) -> u64 {
+        (self.block_lease_ms() as f64 * (1.0 - DRIFT)) as u64 - 50
+    }
+
+    /// After this much time without an accepted answer a worker has surely dropped its tasks.
+    pub fn worker_gone_ms(&self) -> u64 {
+        (self.platform.settings.workers.lease_s * (1.0 + DRIFT) * 1000.0) as u64 + 500
+    }
+
+    /// After this much time no earlier holder can still have authority over a machine, and the
+    /// machine has dropped what such a holder gave it.
+    pub fn stranger_gone_ms(&self) -> u64 {
+        (self.block_lease_ms() as f64 * (1.0 + DRIFT)) as u64 + 250 + self.worker_gone_ms()
+    }
+
+    /// Largest value kept in one key, bytes, with a little room.
+    pub fn value_bytes(&self) -> usize {
+        (self.platform.settings.state.value_kb * 1024.0) as usize - 64
+    }
+
+    /// Most tasks of one job that may be open below its highest bound task, so that the done
+    /// ranges always fit into the job's value.
+    pub fn open_tasks(&self) -> usize {
+        (self.value_bytes().saturating_sub(1200) / 14).clamp(16, 5000)
+    }
+
+    /// Machines in a block: bounded by the operators and by what a value can list.
+    pub fn block_machines(&self) -> usize {
+        (self.options.block_machines as usize).clamp(1, (self.value_bytes() / 380).max(1))
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    /// A small deployment used by stories.
+    pub(crate) const PLATFORM: &str = r#"
+host_name = "n0"
+zone = "north"
+public_addr = "127.0.0.1:18080"
+back = "127.0.0.1:18081"
+extra = 1
+[[known]]
+host_name = "n1"
+zone = "south"
+endpoint = "127.0.0.1:18083"
+[[known]]
+host_name = "n2"
+zone = "north"
+endpoint = "127.0.0.1:18085"
+[external]
+cloud = "127.0.0.1:18090"
+state = "127.0.0.1:18091"
+[settings]
+count = 3
+zones = ["north", "south"]
+clock_error_ms = 100.0
+[[settings.teams]]
+name = "blue"
+cpus = 8.0
+cpus_max = 16.0
+[[settings.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 16.0
+[settings.workers]
+report_s = 2.0
+lease_s = 12.0
+cancel_s = 37.0
+[settings.state]
+rps = 150.0
+write_rps = 25.0
+value_kb = 4.0
+txn_ops = 12
+[settings.cloud]
+rps = 6.0
+list_lag_s = 3.0
+"#;
+
+    pub(crate) fn small() -> Settings {
+        Settings::new(Platform::parse(PLATFORM).expect("good"), Options::default())
+    }
+
+    #[test]
+    fn block_lease_and_worker_lease_end_before_a_cancellation_is_due() {
+        let s = small();
+        assert!(s.block_lease_ms() < 30_000);
+        let w = &s.platform.settings.workers;
+        assert!(s.block_lease_ms() as f64 + w.lease_s * 1000.0 <= w.cancel_s * 1000.0 - 1000.0);
+        assert!(s.authority_ms() < s.block_lease_ms());
+        let mut long = s.clone();
+        long.platform.settings.workers.cancel_s = 90.0;
+        assert_eq!(
+            long.block_lease_ms(),
+            30_000,
+            "the design's value is the upper bound"
+        );
+    }
+
+    #[test]
+    fn a_bad_platform_file_says_what_is_wrong_in_one_line() {
+        let e = Platform::parse(&PLATFORM.replace("cancel_s = 37.0", "cancel_s = 13.0"));
+        assert!(matches!(e, Err(SettingsError::NoLease { .. })));
+        let e = Platform::parse(&PLATFORM.replace("127.0.0.1:18091", "state"))
+            .expect_err("no address")
+            .to_string();
+        assert!(e.contains("external.state") && !e.contains('\n'), "{e}");
+        let e = Platform::parse(&PLATFORM.replace("count = 3", "count = \"x\""))
+            .expect_err("no number")
+            .to_string();
+        assert!(e.contains("line") && !e.contains('\n'), "{e}");
+    }
+
+    #[test]
+    fn options_have_defaults_ranges_and_errors_that_name_the_element() {
+        let o =
+            Options::parse("<quillbend><balance><period-s> 2.5 </period-s></balance></quillbend>");
+        assert_eq!(
+            o.map(|o| (o.balance_period_s, o.balance_tolerance)),
+            Ok((2.5, 0.05))
+        );
+        for (text, says) in [
+            (
+                "<quillbend><balance><period-s>0</period-s></balance></quillbend>",
+                "<balance/period-s>",
+            ),
+            (
+                "<quillbend><balance><period-s/></balance></quillbend>",
+                "<balance/period-s>",
+            ),
+            (
+                "<quillbend><balance><perid>1</perid></balance></quillbend>",
+                "perid",
+            ),
+            ("<other/>", "other"),
+            ("", "quillbend"),
+            ("<quillbend>", "quillbend"),
+        ] {
+            let e = Options::parse(text).expect_err(text).to_string();
+            assert!(e.contains(says) && !e.contains('\n'), "{e}");
+        }
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,556 @@
+//! Messages of every interface, as PROTOCOL writes them, and the values kept in the state service.
+
+use crate::ranges::RangeSet;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What a user asks for; also the part of a job record that never changes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct JobSpec {
+    /// Class.
+    pub route: String,
+    /// Team.
+    pub crew: String,
+    /// Kind of job.
+    pub shape: Shape,
+    /// Priority.
+    pub urgency: Urgency,
+    /// Number of tasks.
+    pub legs: u32,
+    /// CPUs of a task.
+    pub vcpus: f64,
+    /// GPUs of a task.
+    pub gpus: f64,
+    /// Memory of a task.
+    pub ram_gb: f64,
+    /// Image.
+    pub kit: String,
+    /// Size of the image.
+    pub size_gb: f64,
+    /// Allowed machine types.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub frames: Option<Vec<String>>,
+    /// The only allowed zone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub yard: Option<String>,
+    /// All tasks in one zone.
+    pub same_place: bool,
+    /// At most half of the tasks in one zone.
+    pub spread: bool,
+    /// Whether spot machines are permitted.
+    pub loaners: bool,
+    /// Estimated run time.
+    pub ride_s: f64,
+    /// Checkpoint interval, 0 if the tasks never save.
+    pub waypoint_s: f64,
+    /// Time to save when stopped.
+    pub stow_s: f64,
+    /// Deadline from submission.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub due_s: Option<f64>,
+}
+
+/// Kinds of job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Shape {
+    /// Independent tasks, each runs to completion.
+    Batch,
+}
+
+/// Priorities, most pressing first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Urgency {
+    /// Before everything.
+    Critical,
+    /// Before normal work.
+    Urgent,
+    /// Ordinary work.
+    Normal,
+    /// When nothing else wants the room.
+    BestEffort,
+}
+
+/// A submission: a name and a specification.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Submission {
+    /// The job's name.
+    #[serde(rename = "ref")]
+    pub name: String,
+    /// What to run.
+    #[serde(flatten)]
+    pub spec: JobSpec,
+}
+
+/// Lifecycle of a job as users see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobStatus {
+    /// No task is running.
+    Pending,
+    /// Some task is running. Never stored.
+    Running,
+    /// Every task is done.
+    Done,
+    /// Cancelled by its user.
+    Withdrawn,
+}
+
+/// Answer about a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobAnswer {
+    /// The job's name.
+    #[serde(rename = "ref")]
+    pub name: String,
+    /// Its state.
+    pub status: JobStatus,
+    /// Tasks done.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub done: Option<u32>,
+    /// Tasks running, for display.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub running: Option<u32>,
+}
+
+/// State of a task on a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LegStatus {
+    /// Waiting for its image.
+    Fetching,
+    /// Waiting for other tasks.
+    Waiting,
+    /// Running.
+    Running,
+    /// Saving after a stop.
+    Flushing,
+    /// Ended.
+    Ended,
+    /// A state this version does not know; it counts as being on the machine.
+    #[serde(other)]
+    Unknown,
+}
+
+/// Why a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// Completed.
+    Done,
+    /// Stopped by command.
+    Halted,
+    /// Failed.
+    Error,
+    /// Start refused for lack of room.
+    Full,
+    /// Start refused: another attempt is here.
+    InUse,
+    /// Start refused: no such job; or a cause this version does not know.
+    #[serde(other)]
+    Unknown,
+}
+
+/// A task in a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Leg {
+    /// `job/number`.
+    pub leg: String,
+    /// Attempt.
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    /// State.
+    pub status: LegStatus,
+    /// Why it ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<Cause>,
+    /// Whether its progress was saved.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+/// A worker's report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Report {
+    /// Machine.
+    pub rig: String,
+    /// Address of the worker.
+    pub endpoint: String,
+    /// Machine type.
+    pub frame: String,
+    /// Zone.
+    pub yard: String,
+    /// Whether it is a spot machine.
+    pub loaners: bool,
+    /// Session.
+    pub shift: u64,
+    /// Counter of messages.
+    pub tally: u64,
+    /// Highest token seen.
+    pub baton: u64,
+    /// Seconds until the cloud takes the machine.
+    #[serde(default)]
+    pub recall_s: Option<f64>,
+    /// Tasks on the machine.
+    pub legs: Vec<Leg>,
+}
+
+/// A command to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "verb", rename_all = "snake_case")]
+pub enum Order {
+    /// Start a task.
+    Launch {
+        /// Task.
+        leg: String,
+        /// Attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+    /// Stop a task.
+    Stop {
+        /// Task.
+        leg: String,
+        /// Attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+        /// Time it has for saving.
+        #[serde(rename = "leewayS")]
+        leeway_s: f64,
+    },
+    /// Forget an ended task.
+    Clear {
+        /// Task.
+        leg: String,
+        /// Attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+}
+
+/// Answer to a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Orders {
+    /// Token.
+    pub baton: u64,
+    /// Commands.
+    pub orders: Vec<Order>,
+}
+
+/// A machine type in the catalog.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Frame {
+    /// Name.
+    pub label: String,
+    /// CPUs.
+    pub vcpus: f64,
+    /// GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Memory.
+    pub ram_gb: f64,
+    /// Image cache.
+    #[serde(default)]
+    pub local_gb: f64,
+    /// Image fetch rate.
+    #[serde(default)]
+    pub fetch_gb_per_s: f64,
+    /// Price of an ordinary machine.
+    pub price: f64,
+    /// Price of a spot machine.
+    pub market_price: f64,
+    /// Boot time.
+    pub boot_s: f64,
+    /// Zones that have it.
+    pub yards: Vec<String>,
+}
+
+/// `GET /catalog`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Catalog {
+    /// Types.
+    pub frames: Vec<Frame>,
+}
+
+/// `POST /machines`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Rental {
+    /// Request name.
+    pub booking: String,
+    /// Type.
+    pub frame: String,
+    /// Zone.
+    pub yard: String,
+    /// Spot.
+    pub loaners: bool,
+    /// How many.
+    pub number: u32,
+}
+
+/// Names of machines, in requests and answers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Rigs {
+    /// Machines.
+    pub rigs: Vec<String>,
+}
+
+/// A machine in the cloud's list.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct ListedRig {
+    /// Machine.
+    #[serde(rename = "ref")]
+    pub name: String,
+    /// Address.
+    #[serde(default)]
+    pub endpoint: String,
+    /// Type.
+    pub frame: String,
+    /// Zone.
+    pub yard: String,
+    /// Spot.
+    pub loaners: bool,
+    /// `starting`, `running` or `failed`.
+    pub status: String,
+    /// Seconds since the rental.
+    #[serde(default)]
+    pub held_s: f64,
+}
+
+/// `GET /machines`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct RigList {
+    /// Machines.
+    pub rigs: Vec<ListedRig>,
+    /// Whether another page follows.
+    #[serde(default)]
+    pub has_next: bool,
+}
+
+/// A key of the state service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Item {
+    /// Key.
+    pub k: String,
+    /// Value.
+    pub v: serde_json::Value,
+    /// Revision of its last change.
+    pub stamp: u64,
+}
+
+/// `GET /keys?starts=`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct ItemList {
+    /// Keys.
+    pub items: Vec<Item>,
+    /// Whether more follow.
+    #[serde(default)]
+    pub has_next: bool,
+    /// Revision.
+    #[serde(default)]
+    pub ledger: u64,
+}
+
+/// A condition of a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Guard {
+    /// Key.
+    pub k: String,
+    /// Expected revision, 0 for a key that does not exist.
+    pub stamp: u64,
+}
+
+/// A change of a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    /// Write a key.
+    Put {
+        /// Key.
+        put: String,
+        /// Value.
+        v: serde_json::Value,
+        /// Lease that it hangs on.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        permit: Option<u64>,
+    },
+    /// Remove a key.
+    Drop {
+        /// Key.
+        drop: String,
+    },
+}
+
+/// `POST /commit`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Txn {
+    /// Conditions.
+    pub guards: Vec<Guard>,
+    /// Changes.
+    pub then: Vec<Change>,
+}
+
+/// One change seen by a watch.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct News {
+    /// Key written.
+    #[serde(default)]
+    pub put: Option<String>,
+    /// Key removed.
+    #[serde(default)]
+    pub drop: Option<String>,
+    /// Value written.
+    #[serde(default)]
+    pub v: serde_json::Value,
+    /// Revision.
+    pub stamp: u64,
+}
+
+/// `GET /watch`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct NewsList {
+    /// Revision up to which this holds every change.
+    pub ledger: u64,
+    /// Changes.
+    #[serde(default)]
+    pub news: Vec<News>,
+}
+
+/// Stored: a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Specification.
+    pub s: JobSpec,
+    /// State: pending, done or withdrawn.
+    pub st: JobStatus,
+    /// Tasks done.
+    pub d: RangeSet,
+    /// Time of day of the submission, ms.
+    pub t: u64,
+}
+
+/// Stored: a machine of a block with its queue.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// Type.
+    pub f: String,
+    /// Zone.
+    pub y: String,
+    /// Spot.
+    pub l: bool,
+    /// Whether it is being given back: nothing new is bound to it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub x: bool,
+    /// Bound tasks: job, ranges, attempt.
+    pub q: Vec<(String, RangeSet, u64)>,
+}
+
+/// Stored: a block of machines.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct BlockRecord {
+    /// Machines by name.
+    pub m: BTreeMap<String, MachineRecord>,
+}
+
+/// Stored: who leads, or who holds a block. The key's revision is the term or the token.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRecord {
+    /// Controller.
+    pub h: String,
+    /// Its incarnation.
+    pub b: u64,
+}
+
+/// Stored: a live controller, on its lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Incarnation.
+    pub b: u64,
+    /// Lease.
+    pub l: u64,
+}
+
+/// What a holder tells its peers of a machine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineNews {
+    /// Machine.
+    pub rig: String,
+    /// Milliseconds since its last report; none if it never reported to this holder.
+    pub age_ms: Option<u64>,
+    /// Seconds until the cloud takes it.
+    pub recall_s: Option<f64>,
+    /// Whether the holder wants it replaced.
+    pub sick: bool,
+    /// Queue load, seconds of work per CPU.
+    pub load: f64,
+    /// Tasks on it that are running.
+    pub running: Vec<(String, u32)>,
+}
+
+/// A machine whose report reached a controller that doesn't hold it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Stray {
+    /// Machine.
+    pub rig: String,
+    /// Type.
+    pub frame: String,
+    /// Zone.
+    pub yard: String,
+    /// Spot.
+    pub loaners: bool,
+    /// How long it has come here without being heard by its holder.
+    pub for_ms: u64,
+}
+
+/// A message between the agents of PackStealLB.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Agent {
+    /// A victim tells a light machine of itself.
+    Hint {
+        /// Receiver.
+        to: String,
+        /// Sender.
+        from: String,
+        /// The sender's load.
+        load: f64,
+    },
+    /// A thief asks for a pack.
+    Steal {
+        /// Receiver.
+        to: String,
+        /// The thief.
+        thief: String,
+        /// Hops made so far.
+        hops: u32,
+        /// Machines that proved to be no victims.
+        route: Vec<String>,
+    },
+}
+
+/// What controllers tell each other, in a request as in its answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerNews {
+    /// Sender.
+    pub host: String,
+    /// Its incarnation.
+    pub boot: u64,
+    /// Whether the state service answers it.
+    pub state_ok: bool,
+    /// Peers and the milliseconds since each was heard.
+    pub heard: Vec<(String, u64)>,
+    /// Its machines.
+    pub machines: Vec<MachineNews>,
+    /// Strays that came to it.
+    pub strays: Vec<Stray>,
+    /// Messages between agents.
+    pub agents: Vec<Agent>,
+    /// Observed run times over estimates, by class.
+    pub ratios: Vec<(String, f64)>,
+    /// Failures in a row by job, with the milliseconds since the last.
+    pub fails: Vec<(String, u32, u64)>,
+}
