--- a/src/core.rs
+++ b/src/core.rs
@@ -769,6 +769,8 @@
         }
         let take = match self.view.lead {
             None => true,
+            // Taken, but the replica has not caught up with the taking yet.
+            Some(l) if l.host == self.me && l.boot == self.boot => false,
             // An earlier life of this very controller led: nobody else can be hurt.
             Some(l) if l.host == self.me => true,
             Some(l) => {
@@ -1323,7 +1325,9 @@
             // Before the machine obeys our token an earlier holder may still be answering it.
             let gone = match (rt.fenced, rt.last_ok) {
                 (true, Some(ok)) => now.since(ok) > worker,
-                _ => now.since(rt.since) > stranger,
+                (_, ok) => {
+                    now.since(rt.since) > stranger && ok.is_none_or(|ok| now.since(ok) > worker)
+                }
             };
             if !gone || rt.lost || (rt.heard.is_none() && m.queue.is_empty()) {
                 continue;
--- a/src/service.rs
+++ b/src/service.rs
@@ -348,12 +348,12 @@
 }
 
 /// Serves one listener on this thread.
-fn serve<F, S, B>(
+async fn serve<F, S, B>(
     listener: tokio::net::TcpListener,
     app: F,
     most: usize,
     open: Rc<Cell<usize>>,
-) -> impl std::future::Future<Output = Result<(), StartError>>
+) -> Result<(), StartError>
 where
     F: IntoServiceFactory<S, actix_http::Request> + 'static,
     S: ServiceFactory<
@@ -367,39 +367,37 @@
     S::Future: 'static,
     B: actix_web::body::MessageBody + 'static,
 {
-    async move {
-        let factory = app.into_factory();
-        let http = actix_http::HttpService::build()
-            .keep_alive(Duration::from_secs(90))
-            .client_request_timeout(Duration::from_secs(10))
-            .client_disconnect_timeout(Duration::from_secs(2))
-            .h1(map_config(factory, |_| AppConfig::default()))
-            .tcp();
-        let service = http.new_service(()).await.map_err(|_| StartError::Http)?;
-        let service = Rc::new(service);
-        loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    debug!(error = %e, "accepting");
-                    actix_rt::time::sleep(Duration::from_millis(50)).await;
-                    continue;
-                }
-            };
-            if open.get() >= most {
-                // Closed at once: the load balancer goes on to another controller.
+    let factory = app.into_factory();
+    let http = actix_http::HttpService::build()
+        .keep_alive(Duration::from_secs(90))
+        .client_request_timeout(Duration::from_secs(10))
+        .client_disconnect_timeout(Duration::from_secs(2))
+        .h1(map_config(factory, |_| AppConfig::default()))
+        .tcp();
+    let service = http.new_service(()).await.map_err(|_| StartError::Http)?;
+    let service = Rc::new(service);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                debug!(error = %e, "accepting");
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
                 continue;
             }
-            let _ = stream.set_nodelay(true);
-            open.set(open.get() + 1);
-            let (service, open) = (service.clone(), open.clone());
-            actix_rt::spawn(async move {
-                if let Err(e) = service.call(stream).await {
-                    debug!(error = %e, "connection ended");
-                }
-                open.set(open.get() - 1);
-            });
+        };
+        if open.get() >= most {
+            // Closed at once: the load balancer goes on to another controller.
+            continue;
         }
+        let _ = stream.set_nodelay(true);
+        open.set(open.get() + 1);
+        let (service, open) = (service.clone(), open.clone());
+        actix_rt::spawn(async move {
+            if let Err(e) = service.call(stream).await {
+                debug!(error = %e, "connection ended");
+            }
+            open.set(open.get() - 1);
+        });
     }
 }
 
