--- a/src/leader.rs
+++ b/src/leader.rs
@@ -5,7 +5,7 @@
 use crate::clock::Ms;
 use crate::core::{Action, Core, Move, Op, needs_of, put};
 use crate::fleet::{self, Demand, Offer, Rented, Rules};
-use crate::names::{FrameIx, HostIx, ImageIx, JobIx, MachineIx, ZoneIx};
+use crate::names::{FrameIx, HostIx, ImageIx, Index, JobIx, MachineIx, ZoneIx};
 use crate::queue::{self, Candidate, Limits, Room, Slot};
 use crate::ranges::RangeSet;
 use crate::view::{
@@ -698,13 +698,24 @@
                 self.lead.leave.insert(ix);
             }
         }
-        if self.lead.renting.is_empty() && self.lead.place.is_empty() {
+        {
             let offers = self.offers();
+            let fleet = self.with_coming(fleet);
             let refused = &self.lead.refused;
+            let asked: HashSet<(FrameIx, ZoneIx, bool)> = self
+                .lead
+                .renting
+                .values()
+                .filter_map(|(r, _)| {
+                    let frame = self.view.names.frames.get(&r.frame)?;
+                    Some((frame, self.view.names.zones.get(&r.yard)?, r.loaners))
+                })
+                .collect();
             let orders = fleet::rent(&demand, &fleet, &offers, &rules, |f, z, s| {
                 refused.get(&(f, z, s)).is_none_or(|&until| now >= until)
+                    && !asked.contains(&(f, z, s))
             });
-            for o in orders.into_iter().take(4) {
+            for o in orders.into_iter().take(6) {
                 self.lead.bookings += 1;
                 let rental = Rental {
                     booking: format!("b-{}-{}", term.0, self.lead.bookings),
@@ -790,6 +801,43 @@
         self.lead.leave.extend(sick);
     }
 
+    /// The fleet together with what is on its way: asked for, or rented and not yet in a block.
+    /// Asking for all zones at once must not ask for the same need again and again.
+    fn with_coming(&self, mut fleet: Vec<Rented>) -> Vec<Rented> {
+        let placed = self.lead.place.values().map(|r| (&r.f, &r.y, r.l, 1));
+        let asked = self
+            .lead
+            .renting
+            .values()
+            .map(|(r, _)| (&r.frame, &r.yard, r.loaners, r.number));
+        for (frame, zone, spot, number) in placed.chain(asked) {
+            let names = &self.view.names;
+            let (Some(frame), Some(zone)) = (names.frames.get(frame), names.zones.get(zone)) else {
+                continue;
+            };
+            let Some(f) = self.frames.get(&frame) else {
+                continue;
+            };
+            for _ in 0..number {
+                fleet.push(Rented {
+                    machine: MachineIx::from_raw(u32::MAX),
+                    frame,
+                    zone,
+                    spot,
+                    size: Room {
+                        cpus: f.vcpus,
+                        gpus: f.gpus,
+                        ram: f.ram_gb,
+                    },
+                    price: f.price,
+                    idle_s: None,
+                    held_s: 0.0,
+                });
+            }
+        }
+        fleet
+    }
+
     fn offers(&self) -> Vec<Offer> {
         let mut offers: Vec<Offer> = self
             .frames
