--- a/src/leader.rs
+++ b/src/leader.rs
@@ -13,7 +13,7 @@
 };
 use crate::wire::{
     Agent, BlockRecord, Change, JobStatus, LegStatus, ListedRig, MachineRecord, OwnerRecord,
-    Rental, Txn,
+    Rental, Txn, Urgency,
 };
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -446,15 +446,48 @@
         used
     }
 
-    /// Seconds until a job must be begun to be done in time; large without a deadline.
+    /// Seconds until the rest of a job must be begun to be done in time. Without a deadline of
+    /// its own, the time that the operators' objectives give its class counts.
     fn slack_s(&self, job: &Job) -> f64 {
         let age = self.day_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
-        match job.spec.due_s {
-            Some(due) => due - age - self.run_s(job),
+        let s = &self.settings.platform.settings;
+        let objective = || {
+            let of_class = s.objectives.iter().filter(|o| o.class == job.spec.route);
+            of_class
+                .filter_map(|o| o.within_s)
+                .fold(None, |least: Option<f64>, w| {
+                    Some(least.map_or(w, |l| l.min(w)))
+                })
+        };
+        let team = s.teams.iter().find(|t| t.name == job.spec.crew);
+        let wide = team
+            .map_or(1.0, |t| t.cpus_max)
+            .max(job.spec.vcpus)
+            .max(1e-3);
+        let left = f64::from(job.spec.legs.saturating_sub(job.done.len()));
+        let run = self.run_s(job);
+        let rest = run + left * job.spec.vcpus * run / wide;
+        match job.spec.due_s.or_else(objective) {
+            Some(due) => due - age - rest,
             None => 1e5 - age,
         }
     }
 
+    /// The order in which jobs are served: urgent work first; of the rest, what can still be
+    /// done in time, by slack; last, what is late beyond help.
+    fn rank(&self, job: &Job) -> (u8, f64) {
+        let slack = self.slack_s(job);
+        let due = job.spec.due_s.unwrap_or(0.0);
+        let hopeless = slack < -(due * 0.5 + 5.0).max(20.0);
+        let tier = match (job.spec.urgency, hopeless) {
+            (Urgency::Critical, _) => 0,
+            (Urgency::Urgent, _) => 1,
+            (_, false) => 2,
+            (_, true) => 3,
+        };
+        (tier, slack)
+    }
+
     /// A job that fails and fails is tried again ever more slowly.
     fn held_back(&self, job: JobIx, now: Ms) -> bool {
         let theirs = self.peers.values().flat_map(|p| &p.fails);
@@ -503,7 +536,8 @@
             let beyond = guarantee
                 .get(&job.team)
                 .is_none_or(|g| job.spec.vcpus > g + 1e-6);
-            order.push((job.spec.urgency as u8, beyond, self.slack_s(job), ix));
+            let (tier, slack) = self.rank(job);
+            order.push((tier, beyond, slack, ix));
         }
         order.sort_by(|a, b| {
             (a.0, a.1)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -78,6 +78,23 @@
     pub gpus_max: f64,
 }
 
+/// What the operators aim at for a class.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    /// `deadline`, `wait`, `finished` and others.
+    #[serde(default)]
+    pub kind: String,
+    /// Class.
+    #[serde(default)]
+    pub class: String,
+    /// Time it is measured against.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    /// Part of the work that should keep it.
+    #[serde(default)]
+    pub share: Option<f64>,
+}
+
 /// Times of the workers.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Workers {
@@ -125,6 +142,9 @@
     /// Teams.
     #[serde(default)]
     pub teams: Vec<Team>,
+    /// Aims.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     /// Workers.
     pub workers: Workers,
     /// State service.
