--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -221,6 +221,38 @@
     out
 }
 
+/// Decides which machines take no new tasks because the cheaper and fuller ones suffice for
+/// all that could run. Queues empty out there, and the machines can go back.
+pub fn close(demand: &[Demand], fleet: &[(Rented, f64)]) -> Vec<MachineIx> {
+    let runnable: f64 = demand.iter().map(|d| d.tasks * d.needs.room.cpus).sum();
+    let mut order: Vec<&(Rented, f64)> = fleet.iter().collect();
+    let part = |m: &(Rented, f64)| m.1 / m.0.size.cpus.max(1e-6);
+    // Prices within a fifth count as equal: a warm and busy machine is worth more than that.
+    let dear = |m: &(Rented, f64)| m.0.price / m.0.size.cpus.max(1e-6) * (1.2 - 0.2 * part(m));
+    order.sort_by(|a, b| {
+        dear(a)
+            .total_cmp(&dear(b))
+            .then(a.0.machine.raw().cmp(&b.0.machine.raw()))
+    });
+    let want = runnable * 1.1 + 2.0;
+    let mut have = 0.0;
+    let mut kept: Vec<&Rented> = Vec::new();
+    let mut out = Vec::new();
+    for (m, _) in order {
+        let only = demand.iter().any(|d| {
+            let suits = |m: &Rented| d.needs.suits(m.frame, m.zone, m.spot, &m.size);
+            d.tasks > 0.0 && suits(m) && !kept.iter().any(|k| suits(k))
+        });
+        if have < want || only {
+            have += m.size.cpus;
+            kept.push(m);
+        } else {
+            out.push(m.machine);
+        }
+    }
+    out
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -323,4 +355,18 @@
         assert_eq!(back, [MachineIx::from_raw(0)]);
         assert!(give_back(&[demand(16.0, 4000.0)], &fleet, &RULES).is_empty());
     }
+
+    #[test]
+    fn dear_and_empty_machines_are_closed_when_the_rest_suffices() {
+        let mut dear = rented(0, 4.0, None, 100.0);
+        dear.price = 3.0;
+        let fleet = [
+            (dear, 2.0),
+            (rented(1, 4.0, None, 100.0), 0.0),
+            (rented(2, 4.0, None, 100.0), 3.0),
+        ];
+        let closed = close(&[demand(1.0, 50.0)], &fleet);
+        assert_eq!(closed, [1, 0].map(MachineIx::from_raw));
+        assert!(close(&[demand(30.0, 50.0)], &fleet).is_empty());
+    }
 }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -60,6 +60,9 @@
     next_bind: Ms,
     bind_version: u64,
     leave: BTreeSet<MachineIx>,
+    /// Machines that take no new tasks, for the others suffice.
+    closed: HashSet<MachineIx>,
+    next_consolidation: Ms,
     round: Option<Round>,
 }
 
@@ -415,7 +418,7 @@
             let (Some(size), Some(frame)) = (self.size(m), self.frames.get(&m.frame)) else {
                 continue;
             };
-            if !self.available(ix, now) {
+            if !self.available(ix, now) || self.lead.closed.contains(&ix) {
                 continue;
             }
             let warm = self.lead.warm.get(&ix);
@@ -728,6 +731,7 @@
         };
         // The replica must show what is bound before idleness means anything.
         if self.grace_over(now) {
+            self.close_machines(&demand, &fleet, now);
             for ix in fleet::give_back(&demand, &fleet, &rules) {
                 self.lead.leave.insert(ix);
             }
@@ -792,6 +796,47 @@
         }
     }
 
+    /// Closes machines that are not needed, and empties one whose tasks can all save when the
+    /// others have room for them.
+    fn close_machines(&mut self, demand: &[Demand], fleet: &[Rented], now: Ms) {
+        let up: Vec<(Rented, f64)> = fleet
+            .iter()
+            .filter(|m| self.available(m.machine, now))
+            .map(|m| (m.clone(), self.used(m.machine).cpus))
+            .collect();
+        self.lead.closed = fleet::close(demand, &up).into_iter().collect();
+        if now < self.lead.next_consolidation {
+            return;
+        }
+        let free: f64 = up
+            .iter()
+            .filter(|(m, _)| !self.lead.closed.contains(&m.machine))
+            .map(|(m, used)| (m.size.cpus - used).max(0.0))
+            .sum();
+        let worth = up.iter().filter(|(m, used)| {
+            let Some(machine) = self.view.machines.get(&m.machine) else {
+                return false;
+            };
+            let saves = |e: &Entry| {
+                let job = self.view.jobs.get(&e.task.job);
+                job.is_some_and(|j| j.spec.waypoint_s > 0.0)
+            };
+            let load = self.machine_info(m.machine, now).map_or(0.0, |i| i.load);
+            let left_s = load * m.size.cpus / used.max(0.1);
+            self.lead.closed.contains(&m.machine)
+                && *used > 0.0
+                && *used <= m.size.cpus * 0.5
+                && *used <= free * 0.8
+                && left_s > 30.0
+                && machine.queue.iter().all(saves)
+        });
+        let dearest = worth.max_by(|a, b| a.0.price.total_cmp(&b.0.price));
+        if let Some((m, _)) = dearest {
+            self.lead.next_consolidation = now.plus(6000);
+            self.lead.leave.insert(m.machine);
+        }
+    }
+
     /// Whether a machine is better returned than waited for: the answer to the return proves
     /// that it and everything on it are gone.
     fn is_dead(&self, ix: MachineIx, now: Ms) -> bool {
