--- a/src/api.rs
+++ b/src/api.rs
@@ -164,6 +164,15 @@
         match self.state.commit(&txn, WRITE_WAIT).await {
             Outcome::Done(ledger) => {
                 self.shared.core.lock().view.apply_own(&txn, ledger);
+                tracing::debug!(
+                    job = name,
+                    class = record.s.route,
+                    team = record.s.crew,
+                    tasks = record.s.legs,
+                    run_s = record.s.ride_s,
+                    due_s = record.s.due_s,
+                    "accepted"
+                );
                 HttpResponse::Created().json(JobAnswer {
                     name,
                     status: JobStatus::Pending,
--- a/src/core.rs
+++ b/src/core.rs
@@ -1183,6 +1183,9 @@
                 .and_then(|b| b.running_since)
                 .or((leg.status == LegStatus::Running).then_some(now));
             rt.legs.insert(task, leg_rt(leg, since));
+            if was.is_none_or(|b| b.status != leg.status) {
+                debug!(leg = leg.leg, rig = r.rig, status = ?leg.status, cause = ?leg.cause, "reported");
+            }
             if ended {
                 let end = match leg.cause {
                     Some(Cause::Done) => End::Done,
@@ -1268,6 +1271,7 @@
             used.add(&need, 1.0);
             rt.launched.insert(e.task);
             self.counters.launches += 1;
+            debug!(leg = self.view.names.leg(e.task), rig = r.rig, "launching");
             orders.push(Order::Launch {
                 leg: self.view.names.leg(e.task),
                 attempt: e.attempt,
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -571,7 +571,7 @@
             });
         }
         let limits = Limits {
-            ahead: self.settings.options.queue_ahead,
+            ahead_s: self.settings.options.queue_ahead_s,
             sample: self.settings.options.queue_sample as usize,
             most: 300,
         };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -276,8 +276,8 @@
     block_lease_s: "blocks/lease-s" = 30.0 in 5.0..=600.0;
     /// Most machines in a block.
     block_machines: "blocks/machines" = 10.0 in 1.0..=64.0;
-    /// Unstarted work bound to a machine, as a part of its CPUs.
-    queue_ahead: "queues/ahead" = 0.25 in 0.0..=8.0;
+    /// Longest time that a bound task should wait for room on its machine, seconds.
+    queue_ahead_s: "queues/ahead-s" = 3.0 in 0.0..=600.0;
     /// Machines looked at for a binding when there are more.
     queue_sample: "queues/sample" = 16.0 in 2.0..=1000.0;
     /// Seconds of work that a rented CPU should find waiting.
