Take a report in whole although the machine's type is unknown

Ruled out: the move itself; its guards held, the knowledge behind it was wrong. Now tasks are taken in regardless, and the catalog is also kept in the state service.

--- a/src/core.rs
+++ b/src/core.rs
@@ -434,6 +434,12 @@
         for e in due {
             self.reserved.remove(&e);
         }
+        // Kept in the state service too, for controllers that start while the cloud is away.
+        if self.frames.is_empty()
+            && let Some(frames) = self.view.catalog.clone()
+        {
+            self.on_catalog(crate::wire::Catalog { frames });
+        }
         // A machine's runtime belongs to one token.
         let mut mine: HashMap<MachineIx, u64> = HashMap::new();
         for (id, grant) in &self.view.grants {
@@ -1139,9 +1145,9 @@
         let before = std::mem::take(&mut rt.legs);
         let queue: HashMap<TaskIx, u64> =
             machine.queue.iter().map(|e| (e.task, e.attempt)).collect();
-        let Some(size) = self.size(machine) else {
-            return orders;
-        };
+        // The type may be unknown still, after a restart while the cloud is away. Everything the
+        // report shows is taken in all the same: what seemed absent could be stolen and run twice.
+        let size = self.size(machine);
         let leaving = machine.leaving || rt.sick || rt.recall_at.is_some();
         let mut used = Room::default();
         let mut new_ends: Vec<(Entry, End)> = Vec::new();
@@ -1264,7 +1270,7 @@
                 continue;
             }
             let need = needs_of(job).room;
-            if full || !need.fits(&size.minus(&used)) {
+            if full || !size.is_some_and(|size| need.fits(&size.minus(&used))) {
                 full = true;
                 continue;
             }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -9,10 +9,10 @@
 use crate::queue::{self, Candidate, Limits, Room, Slot};
 use crate::ranges::RangeSet;
 use crate::view::{
-    BlockId, Entry, Job, LEAD, TaskIx, Term, block_key, grant_key, job_key, past_key,
+    BlockId, CATALOG, Entry, Job, LEAD, TaskIx, Term, block_key, grant_key, job_key, past_key,
 };
 use crate::wire::{
-    Agent, BlockRecord, Change, JobStatus, LegStatus, ListedRig, MachineRecord, OwnerRecord,
+    Agent, BlockRecord, Change, Frame, JobStatus, LegStatus, ListedRig, MachineRecord, OwnerRecord,
     Rental, Txn, Urgency,
 };
 use rand::Rng;
@@ -119,7 +119,8 @@
             .plan_grants(now)
             .or_else(|| self.plan_machines(now))
             .or_else(|| self.plan_bindings(now))
-            .or_else(|| self.plan_archive(now));
+            .or_else(|| self.plan_archive(now))
+            .or_else(|| self.plan_catalog());
         if let Some(mut txn) = txn {
             txn.guards.push(self.guard(LEAD));
             self.submit(Op::Leader, txn, out);
@@ -663,6 +664,31 @@
             .collect()
     }
 
+    /// Keeps the machine types where a controller finds them that starts while the cloud is
+    /// away. Prices move all the time and are not worth a write.
+    fn plan_catalog(&mut self) -> Option<Txn> {
+        let mut frames: Vec<Frame> = self.frames.values().cloned().collect();
+        frames.sort_by(|a, b| a.label.cmp(&b.label));
+        let same = |a: &Frame, b: &Frame| {
+            let b = Frame {
+                price: a.price,
+                market_price: a.market_price,
+                ..b.clone()
+            };
+            *a == b
+        };
+        let kept = self.view.catalog.as_ref().is_some_and(|kept| {
+            kept.len() == frames.len() && kept.iter().zip(&frames).all(|(a, b)| same(a, b))
+        });
+        let record = put(CATALOG, &frames, None);
+        let fits =
+            serde_json::to_string(&frames).is_ok_and(|s| s.len() <= self.settings.value_bytes());
+        (!kept && fits).then(|| Txn {
+            guards: Vec::new(),
+            then: vec![record],
+        })
+    }
+
     /// Moves jobs that are over out of the watched part.
     fn plan_archive(&mut self, now: Ms) -> Option<Txn> {
         if now < self.lead.next_archive {
--- a/src/view.rs
+++ b/src/view.rs
@@ -18,6 +18,8 @@
 pub const ROOT: &str = "qb/";
 /// The leader's key.
 pub const LEAD: &str = "qb/lead";
+/// The machine types, as the cloud last described them.
+pub const CATALOG: &str = "qb/catalog";
 const NODES: &str = "qb/node/";
 const GRANTS: &str = "qb/grant/";
 const BLOCKS: &str = "qb/block/";
@@ -218,6 +220,8 @@
     pub synced: bool,
     /// Leader.
     pub lead: Option<Owner>,
+    /// Machine types as kept.
+    pub catalog: Option<Vec<crate::wire::Frame>>,
     /// Controllers with a lease.
     pub nodes: HashMap<HostIx, NodeView>,
     /// Grants.
@@ -318,6 +322,8 @@
     fn put(&mut self, key: &str, value: serde_json::Value, stamp: u64) {
         let ok = if key == LEAD {
             self.put_owner(value, stamp).map(|o| self.lead = Some(o))
+        } else if key == CATALOG {
+            serde_json::from_value(value).map(|c| self.catalog = Some(c))
         } else if let Some(host) = key.strip_prefix(NODES) {
             serde_json::from_value::<NodeRecord>(value).map(|n| {
                 let node = NodeView {
