--- a/src/leader.rs
+++ b/src/leader.rs
@@ -12,8 +12,8 @@
     BlockId, CATALOG, Entry, Job, LEAD, TaskIx, Term, block_key, grant_key, job_key, past_key,
 };
 use crate::wire::{
-    Agent, BlockRecord, Change, Frame, JobStatus, LegStatus, ListedRig, MachineRecord, OwnerRecord,
-    Rental, Txn, Urgency,
+    Agent, BlockRecord, Change, Frame, JobStatus, ListedRig, MachineRecord, OwnerRecord, Rental,
+    Txn, Urgency,
 };
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -1447,11 +1447,9 @@
             })
     }
 
-    /// Whether some task of the machine is on it as the last report shows.
-    pub fn busy(&self, ix: MachineIx) -> bool {
-        self.rt
-            .get(&ix)
-            .is_some_and(|rt| rt.legs.values().any(|l| l.status != LegStatus::Ended))
+    /// Number of tasks on a machine as its last report to this controller shows.
+    pub fn tasks_seen(&self, ix: MachineIx) -> usize {
+        self.rt.get(&ix).map_or(0, |rt| rt.legs.len())
     }
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -247,14 +247,35 @@
     w.until(15_000, "all run", |w| w.running() == 16);
     w.cloud_up = false;
     (0..3).for_each(|i| w.crash(i));
-    w.run(3000);
+    w.run(1000);
+    // Nor is it found in the state service.
+    w.state.forget("qb/catalog");
     (0..3).for_each(|i| w.start(i));
     w.run(8000);
+    assert!((0..3).all(|i| !w.core(i).catalog_known()));
     w.cloud_up = true;
-    w.until(80_000, "done", |w| w.is_done(&job));
-    w.assert_kept();
-    assert_eq!(w.starts.len(), 16);
+    // The machines are silent from here on: only what was taken in before counts.
+    let held: Vec<u64> = w.workers.iter().map(|m| m.up_at).collect();
+    w.workers.iter_mut().for_each(|m| m.up_at = u64::MAX);
+    w.run(8000);
     assert!((0..3).all(|i| w.core(i).catalog_known()));
+    for i in 0..3 {
+        let core = w.core(i);
+        for ix in core.view.machines_sorted() {
+            let listed = core.view.machines[&ix].queue.len();
+            let name = core.view.names.machines.name(ix);
+            let on_it = w.workers.iter().find(|m| m.rig.name == name);
+            let on_it = on_it.map_or(0, |m| m.tasks.len());
+            if w.holder(name) == Some(i) {
+                assert_eq!(core.tasks_seen(ix), on_it, "{name}: {listed} listed");
+            }
+        }
+    }
+    for (m, at) in w.workers.iter_mut().zip(held) {
+        m.up_at = at;
+    }
+    w.until(120_000, "done", |w| w.is_done(&job));
+    w.assert_kept();
 }
 
 #[test]
@@ -299,6 +320,41 @@
     assert_eq!(w.starts.len(), 16);
 }
 
+#[test]
+fn a_conclusion_that_waits_dies_with_the_token_it_rests_on() {
+    let mut w = settled(21, 1);
+    w.settings.options.queue_ahead_s = 600.0;
+    (0..3).for_each(|i| w.crash(i));
+    (0..3).for_each(|i| w.start(i));
+    w.until(20_000, "a leader", |w| w.leader().is_some());
+    w.cloud_up = false;
+    w.run_ms = 60_000;
+    w.submit(1, w.spec(8));
+    let rig = w.workers[0].rig.name.clone();
+    let queue = |w: &World| {
+        let v = w.state.value("qb/block/0000").expect("a block");
+        v["m"][&rig]["q"].to_string()
+    };
+    w.until(20_000, "the machine is full", |w| w.running() == 4);
+    w.run(3000);
+    let holder = w.holder(&rig).expect("held");
+    let before = queue(&w);
+    // On notice the holder concludes that the unstarted tasks are free, but cannot write it.
+    w.links[holder].state = Mood::Refuses;
+    w.workers[0].recall_s = Some(30.0);
+    w.run(2500);
+    w.workers[0].recall_s = None;
+    w.workers[0].cut = true;
+    // The block goes to somebody else, who may start them, and comes back.
+    let mine = w.state.value("qb/grant/0000").expect("granted").clone();
+    let theirs = serde_json::json!({ "h": "other", "b": 1 });
+    w.state.overwrite("qb/grant/0000", theirs);
+    w.state.overwrite("qb/grant/0000", mine);
+    w.links[holder].state = Mood::Good;
+    w.run(2000);
+    assert_eq!(queue(&w), before);
+}
+
 #[test]
 fn conclusions_drawn_under_one_token_are_dropped_with_it() {
     // A block goes away and comes back while its holder's writes wait. What it took for
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -98,6 +98,19 @@
         }
     }
 
+    /// Removes a key behind everybody's back.
+    pub fn forget(&mut self, k: &str) {
+        self.ledger += 1;
+        self.drop_key(k);
+    }
+
+    /// Writes a key behind everybody's back; its lease stays.
+    pub fn overwrite(&mut self, k: &str, v: serde_json::Value) {
+        self.ledger += 1;
+        let permit = self.keys.get(k).and_then(|k| k.permit);
+        self.put(k, v, permit);
+    }
+
     pub fn value(&self, k: &str) -> Option<&serde_json::Value> {
         self.keys.get(k).map(|k| &k.v)
     }
