--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -119,7 +119,7 @@
         self.keys.get(k).map_or(0, |k| k.stamp)
     }
 
-    fn list(&self, starts: &str) -> (Vec<Item>, u64) {
+    pub fn list(&self, starts: &str) -> (Vec<Item>, u64) {
         let items = self.keys.iter().filter(|(k, _)| k.starts_with(starts));
         let items = items.map(|(k, key)| Item {
             k: k.clone(),
@@ -129,7 +129,7 @@
         (items.collect(), self.ledger)
     }
 
-    fn news(&self, starts: &str, after: u64) -> NewsList {
+    pub fn news(&self, starts: &str, after: u64) -> NewsList {
         let of = |n: &&News| {
             n.stamp > after
                 && n.put
@@ -143,13 +143,24 @@
         }
     }
 
-    fn lease(&mut self, life: u64, now: u64) -> u64 {
+    pub fn lease(&mut self, life: u64, now: u64) -> u64 {
         self.next_lease += 1;
         self.leases.insert(self.next_lease, (life, now + life));
         self.next_lease
     }
 
-    fn pass(&mut self, now: u64) {
+    /// Renews a lease, if it is not over.
+    pub fn renew(&mut self, permit: u64, now: u64) -> bool {
+        match self.leases.get_mut(&permit) {
+            Some(l) => {
+                l.1 = now + l.0;
+                true
+            }
+            None => false,
+        }
+    }
+
+    pub fn pass(&mut self, now: u64) {
         let due: Vec<Txn> = self
             .late
             .extract_if(.., |l| l.0 <= now)
