--- a/src/core.rs
+++ b/src/core.rs
@@ -207,6 +207,8 @@
     pub freed: u64,
     /// Tasks bound as leader.
     pub bound: u64,
+    /// Tasks marked as leader to be stopped for more pressing ones.
+    pub evicted: u64,
     /// Steals sent.
     pub steals: u64,
     /// Hops of steals passed on.
@@ -1242,6 +1244,8 @@
                     // It cannot be done in time: better begun again elsewhere at once.
                     (rest > left * 1.5).then_some(0.0)
                 }
+            } else if machine.evict.contains(&entry) {
+                (leg.status != LegStatus::Flushing).then_some(job.spec.stow_s + 5.0)
             } else if machine.leaving || rt.sick {
                 (leg.status != LegStatus::Flushing && job.spec.waypoint_s > 0.0)
                     .then_some(job.spec.stow_s + 5.0)
@@ -1279,7 +1283,7 @@
             if on_it || self.reserved.contains(e) || self.ends.contains_key(&(e.attempt, e.task)) {
                 continue;
             }
-            if leaving {
+            if leaving || machine.evict.contains(e) {
                 if rt.fenced {
                     new_ends.push((*e, End::Free));
                 }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -5,7 +5,7 @@
 use crate::clock::Ms;
 use crate::core::{Action, Core, Move, Op, needs_of, put};
 use crate::fleet::{self, Demand, Offer, Rented, Rules};
-use crate::names::{FrameIx, HostIx, ImageIx, Index, JobIx, MachineIx, ZoneIx};
+use crate::names::{FrameIx, HostIx, ImageIx, Index, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::queue::{self, Candidate, Limits, Room, Slot};
 use crate::ranges::RangeSet;
 use crate::view::{
@@ -542,8 +542,7 @@
             if job.status != JobStatus::Pending || open >= job.spec.legs {
                 continue;
             }
-            let room = teams.get(&job.team).map_or(0.0, |t| t.cpus);
-            if room + 1e-6 < job.spec.vcpus || self.held_back(ix, now) {
+            if self.held_back(ix, now) {
                 continue;
             }
             let beyond = guarantee
@@ -586,7 +585,8 @@
             most: 300,
         };
         let mut plan = queue::plan(&mut slots, &mut jobs, &mut teams, limits, &mut self.rng);
-        if plan.is_empty() {
+        let mut evict = self.plan_evictions(&jobs, &teams);
+        if plan.is_empty() && evict.is_empty() {
             return None;
         }
         // An attempt is numbered by the revision at which it is bound: unbinding comes at a
@@ -606,6 +606,7 @@
             }
             let blocks: BTreeSet<BlockId> = add
                 .keys()
+                .chain(evict.keys())
                 .filter_map(|m| Some(self.view.machines.get(m)?.block))
                 .take(ops)
                 .collect();
@@ -613,10 +614,16 @@
             let mut total = 0;
             let mut over = None;
             for id in blocks {
-                let record = self.view.block_record(id, |ix, m| {
+                let mut record = self.view.block_record(id, |ix, m| {
                     let new = add.get(&ix).map_or(&[][..], Vec::as_slice);
                     m.queue.iter().chain(new).copied().collect()
                 });
+                for (&ix, entries) in &evict {
+                    let name = self.view.names.machines.name(ix);
+                    if let Some(m) = record.m.get_mut(name) {
+                        m.p.extend(self.view.group(entries));
+                    }
+                }
                 let size = serde_json::to_string(&record).map_or(0, |s| s.len());
                 total += size;
                 if size > self.settings.value_bytes() || total > 56_000 {
@@ -634,6 +641,15 @@
                     );
                 }
                 self.counters.bound += plan.len() as u64;
+                for (&ix, entries) in &evict {
+                    self.counters.evicted += entries.len() as u64;
+                    let rig = self.view.names.machines.name(ix);
+                    info!(
+                        rig,
+                        tasks = entries.len(),
+                        "stopping tasks for more pressing ones"
+                    );
+                }
                 return self.edit_blocks(edits);
             };
             // Too much for one value: the block gets half as many new tasks this time.
@@ -643,6 +659,7 @@
                     .get(&b.machine)
                     .is_some_and(|m| m.block == id)
             };
+            evict.clear();
             let keep = plan.iter().filter(|b| of_block(b)).count() / 2;
             let mut seen = 0;
             plan.retain(|b| {
@@ -657,8 +674,92 @@
         }
     }
 
+    /// Chooses tasks to be stopped for pressing jobs that found no room: less urgent ones that
+    /// save their progress, of the same team where the team's limit stands in the way, of any
+    /// team where the machines are full. Their jobs must have clearly more time left, or be late
+    /// beyond help, so that nothing is stopped and started in circles.
+    fn plan_evictions(
+        &self,
+        blocked: &[Candidate],
+        teams: &HashMap<TeamIx, Room>,
+    ) -> HashMap<MachineIx, Vec<Entry>> {
+        let mut out: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
+        let mut left = self.settings.options.evict_cpus;
+        let evicted = |e: &Entry, out: &HashMap<MachineIx, Vec<Entry>>, m: MachineIx| {
+            out.get(&m).is_some_and(|v| v.contains(e))
+        };
+        // What was marked before comes free soon and is not asked for again.
+        let mut coming: HashMap<TeamIx, f64> = HashMap::new();
+        let mut coming_all = 0.0;
+        for m in self.view.machines.values() {
+            for e in &m.evict {
+                if let Some(job) = self.view.jobs.get(&e.task.job) {
+                    *coming.entry(job.team).or_default() += job.spec.vcpus;
+                    coming_all += job.spec.vcpus;
+                }
+            }
+        }
+        for c in blocked.iter().filter(|c| !c.tasks.is_empty()) {
+            let Some(job) = self.view.jobs.get(&c.job) else {
+                continue;
+            };
+            let (tier, slack) = self.rank(job);
+            if tier > 2 || slack > 60.0 || left <= 0.0 {
+                continue;
+            }
+            let cpus = c.needs.room.cpus.max(1e-3);
+            let room = teams.get(&c.team).map_or(0.0, |t| t.cpus);
+            let by_team = room + 1e-6 < cpus;
+            let wanted = c.tasks.len() as f64 * cpus;
+            let mut missing = if by_team {
+                let coming = coming.entry(c.team).or_default();
+                let used = coming.min(wanted);
+                *coming -= used;
+                wanted - used - room.max(0.0)
+            } else {
+                let used = f64::min(coming_all, wanted);
+                coming_all -= used;
+                wanted.min(room) - used
+            };
+            let mut victims: Vec<(f64, MachineIx, Entry, f64)> = Vec::new();
+            for (&ix, m) in &self.view.machines {
+                let suits = self
+                    .size(m)
+                    .is_some_and(|size| c.needs.suits(m.frame, m.zone, m.spot, &size));
+                if m.leaving || (!by_team && !suits) {
+                    continue;
+                }
+                for e in &m.queue {
+                    let Some(v) = self.view.jobs.get(&e.task.job) else {
+                        continue;
+                    };
+                    let (v_tier, v_slack) = self.rank(v);
+                    let may = v.spec.urgency > job.spec.urgency
+                        && v.spec.waypoint_s > 0.0
+                        && (!by_team || v.team == c.team)
+                        && (v_tier > 2 || v_slack > slack.max(0.0) + 30.0)
+                        && !m.evict.contains(e)
+                        && !evicted(e, &out, ix);
+                    if may {
+                        victims.push((v_slack, ix, *e, v.spec.vcpus));
+                    }
+                }
+            }
+            victims.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.2.attempt.cmp(&a.2.attempt)));
+            for (_, ix, e, cpus) in victims {
+                if missing <= 1e-6 || left <= 0.0 {
+                    break;
+                }
+                missing -= cpus;
+                left -= cpus;
+                out.entry(ix).or_default().push(e);
+            }
+        }
+        out
+    }
+
     /// CPUs that each team may still use within its guarantee.
-    fn guaranteed_left(&self) -> HashMap<crate::names::TeamIx, f64> {
+    fn guaranteed_left(&self) -> HashMap<TeamIx, f64> {
         let room = self.team_room();
         self.settings
             .platform
@@ -1460,5 +1561,6 @@
         l: spot,
         x: false,
         q: Vec::new(),
+        p: Vec::new(),
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -280,6 +280,8 @@
     queue_ahead_s: "queues/ahead-s" = 3.0 in 0.0..=600.0;
     /// Machines looked at for a binding when there are more.
     queue_sample: "queues/sample" = 16.0 in 2.0..=1000.0;
+    /// CPUs of running tasks that may be stopped at a time for more pressing ones.
+    evict_cpus: "queues/evict-cpus" = 24.0 in 0.0..=10000.0;
     /// Seconds of work that a rented CPU should find waiting.
     fleet_horizon_s: "fleet/horizon-s" = 45.0 in 1.0..=3600.0;
     /// Seconds that a machine stands idle before it is given back.
--- a/src/view.rs
+++ b/src/view.rs
@@ -102,6 +102,8 @@
     pub leaving: bool,
     /// Bound tasks in order.
     pub queue: Vec<Entry>,
+    /// Bound tasks that are to be stopped to make room.
+    pub evict: Vec<Entry>,
 }
 
 /// A block.
@@ -387,14 +389,8 @@
         let mut machines = Vec::with_capacity(record.m.len());
         for (name, m) in record.m {
             let ix = self.names.machines.intern(&name);
-            let mut queue = Vec::new();
-            for (job, legs, attempt) in m.q {
-                let job = self.names.jobs.intern(&job);
-                queue.extend(legs.iter().map(|leg| Entry {
-                    task: TaskIx { job, leg },
-                    attempt,
-                }));
-            }
+            let queue = self.ungroup(m.q);
+            let evict = self.ungroup(m.p);
             let machine = Machine {
                 block: id,
                 frame: self.names.frames.intern(&m.f),
@@ -402,6 +398,7 @@
                 spot: m.l,
                 leaving: m.x,
                 queue,
+                evict,
             };
             self.machines.insert(ix, machine);
             machines.push(ix);
@@ -491,7 +488,37 @@
         record
     }
 
+    fn ungroup(&mut self, groups: Vec<(String, RangeSet, u64)>) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        for (job, legs, attempt) in groups {
+            let job = self.names.jobs.intern(&job);
+            entries.extend(legs.iter().map(|leg| Entry {
+                task: TaskIx { job, leg },
+                attempt,
+            }));
+        }
+        entries
+    }
+
     fn machine_record(&self, m: &Machine, entries: &[Entry]) -> MachineRecord {
+        let evict: Vec<Entry> = m
+            .evict
+            .iter()
+            .copied()
+            .filter(|e| entries.contains(e))
+            .collect();
+        MachineRecord {
+            f: self.names.frames.name(m.frame).to_owned(),
+            y: self.names.zones.name(m.zone).to_owned(),
+            l: m.spot,
+            x: m.leaving,
+            q: self.group(entries),
+            p: self.group(&evict),
+        }
+    }
+
+    /// Entries as they are stored: runs of tasks by job and attempt.
+    pub fn group(&self, entries: &[Entry]) -> Vec<(String, RangeSet, u64)> {
         let mut q: Vec<(JobIx, RangeSet, u64)> = Vec::new();
         for e in entries {
             let part = match q.iter_mut().find(|p| p.0 == e.task.job && p.2 == e.attempt) {
@@ -504,15 +531,9 @@
             };
             part.1.insert(e.task.leg);
         }
-        MachineRecord {
-            f: self.names.frames.name(m.frame).to_owned(),
-            y: self.names.zones.name(m.zone).to_owned(),
-            l: m.spot,
-            x: m.leaving,
-            q: q.into_iter()
-                .map(|(j, r, a)| (self.names.jobs.name(j).to_owned(), r, a))
-                .collect(),
-        }
+        q.into_iter()
+            .map(|(j, r, a)| (self.names.jobs.name(j).to_owned(), r, a))
+            .collect()
     }
 
     /// The highest revision known here, by the watch or by an own commit.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -448,6 +448,9 @@
     pub x: bool,
     /// Bound tasks: job, ranges, attempt.
     pub q: Vec<(String, RangeSet, u64)>,
+    /// Those of them that are to be stopped to make room.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub p: Vec<(String, RangeSet, u64)>,
 }
 
 /// Stored: a block of machines.
