--- a/src/leader.rs
+++ b/src/leader.rs
@@ -710,6 +710,11 @@
             let cpus = c.needs.room.cpus.max(1e-3);
             let room = teams.get(&c.team).map_or(0.0, |t| t.cpus);
             let by_team = room + 1e-6 < cpus;
+            // Where the whole fleet is full, only urgent work may push others out: otherwise the
+            // same lack moves from class to class, with stops and fetches on top.
+            if !by_team && job.spec.urgency > Urgency::Urgent {
+                continue;
+            }
             let wanted = c.tasks.len() as f64 * cpus;
             let mut missing = if by_team {
                 let coming = coming.entry(c.team).or_default();
