--- a/src/core.rs
+++ b/src/core.rs
@@ -178,6 +178,8 @@
 struct StrayRt {
     first: Ms,
     last: Ms,
+    /// The grant it came past; under another one the count begins anew.
+    token: u64,
     frame: String,
     yard: String,
     loaners: bool,
@@ -903,7 +905,7 @@
                 frame: s.frame.clone(),
                 yard: s.yard.clone(),
                 loaners: s.loaners,
-                for_ms: now.since(s.first),
+                for_ms: s.last.since(s.first),
             })
             .collect()
     }
@@ -1035,10 +1037,11 @@
         }
     }
 
-    fn stray(&mut self, r: &Report, now: Ms) {
+    fn stray(&mut self, r: &Report, token: u64, now: Ms) {
         let fresh = StrayRt {
             first: now,
             last: now,
+            token,
             frame: r.frame.clone(),
             yard: r.yard.clone(),
             loaners: r.loaners,
@@ -1047,8 +1050,9 @@
             return;
         }
         let s = self.strays.entry(r.rig.clone()).or_insert(fresh);
-        if now.since(s.last) > 7000 {
+        if now.since(s.last) > 7000 || s.token != token {
             s.first = now;
+            s.token = token;
         }
         s.last = now;
     }
@@ -1057,7 +1061,7 @@
     pub fn on_report(&mut self, r: Report, now: Ms) -> Reply {
         let known = self.view.names.machines.get(&r.rig);
         let Some((ix, (_, grant))) = known.and_then(|m| Some((m, self.view.holder(m)?))) else {
-            self.stray(&r, now);
+            self.stray(&r, 0, now);
             let leader = self
                 .view
                 .lead
@@ -1070,7 +1074,7 @@
         };
         if grant.host != self.me || grant.boot != self.boot {
             self.counters.redirects += 1;
-            self.stray(&r, now);
+            self.stray(&r, grant.stamp, now);
             // A holder that is silent to us is not named: the worker would wait for it in vain.
             let name = (grant.host != self.me && self.hears(grant.host, now))
                 .then(|| self.view.names.hosts.name(grant.host).to_owned());
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -28,8 +28,6 @@
 struct Listed {
     rented_at: Ms,
     failed: bool,
-    /// Lists in a row that did not show it.
-    missing: u32,
 }
 
 /// What a leader remembers of one term; all of it can be found out anew.
@@ -41,6 +39,8 @@
     lead_lost: Option<Ms>,
     warm: HashMap<MachineIx, Vec<ImageIx>>,
     listed: HashMap<MachineIx, Listed>,
+    /// Lists in a row that did not show a machine of ours.
+    absent: HashMap<MachineIx, u32>,
     /// Machines to be put into blocks.
     place: BTreeMap<String, MachineRecord>,
     refused: HashMap<(FrameIx, ZoneIx, bool), Ms>,
@@ -996,8 +996,13 @@
         if listed.is_some_and(|l| l.failed) {
             return true;
         }
-        let missing = listed.is_some_and(|l| l.missing >= 2);
+        // A list may be twice as late as it should be, so a machine counts as missing only after
+        // it has been known here for longer than that. It need not have been listed to this
+        // leader: it may have gone while another led, or nobody.
+        let lag = (self.settings.platform.settings.cloud.list_lag_s * 2000.0) as u64 + 2000;
+        let absent = self.lead.absent.get(&ix).is_some_and(|&n| n >= 2);
         let seen = self.lead.first_seen.get(&ix).map_or(0, |&t| now.since(t));
+        let missing = absent && seen > lag;
         let lost = self.settings.worker_gone_ms() + 8000;
         match self.machine_info(ix, now) {
             Some(i) => match i.age_ms {
@@ -1005,7 +1010,7 @@
                 None => {
                     let held = listed.map_or(seen, |l| now.since(l.rented_at));
                     let patience = (frame.boot_s * 3.5 * 1000.0) as u64 + 20_000;
-                    (missing && seen > 20_000) || (held > patience && seen > lost)
+                    missing || (held > patience && seen > lost)
                 }
             },
             None => false,
@@ -1177,9 +1182,7 @@
                     let l = self.lead.listed.entry(ix).or_insert(Listed {
                         rented_at,
                         failed: false,
-                        missing: 0,
                     });
-                    l.missing = 0;
                     l.failed = rig.status == "failed";
                 }
                 // Rented by an earlier leader, or late: it is used or goes back in time.
@@ -1191,12 +1194,11 @@
                 }
             }
         }
-        for (ix, l) in &mut self.lead.listed {
-            if !shown.contains(ix) {
-                l.missing += 1;
-            }
-        }
         let there = &self.view.machines;
+        self.lead.absent.retain(|m, _| !shown.contains(m));
+        for &ix in there.keys().filter(|ix| !shown.contains(ix)) {
+            *self.lead.absent.entry(ix).or_default() += 1;
+        }
         self.lead.listed.retain(|m, _| there.contains_key(m));
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -378,6 +378,45 @@
     }
 }
 
+#[test]
+fn a_machine_that_went_while_nobody_looked_is_missed_by_the_list() {
+    let mut w = settled(22, 6);
+    w.run_ms = 40_000;
+    let job = w.submit(1, w.spec(16));
+    w.until(15_000, "all run", |w| w.running() == 16);
+    (0..3).for_each(|i| w.crash(i));
+    let busy = w.workers.iter().position(|m| !m.tasks.is_empty());
+    let gone = w.workers.remove(busy.expect("busy"));
+    w.run(3000);
+    (0..3).for_each(|i| w.start(i));
+    w.run(25_000);
+    let known = |i: usize| w.core(i).view.names.machines.get(&gone.rig.name);
+    for i in 0..3 {
+        let listed = known(i).is_some_and(|m| w.core(i).view.machines.contains_key(&m));
+        assert!(!listed, "its tasks still wait on it");
+    }
+    w.until(100_000, "done", |w| w.is_done(&job));
+    w.assert_kept();
+}
+
+#[test]
+fn workers_that_found_no_holder_for_a_while_do_not_discredit_the_next_one() {
+    // While two controllers were down, their workers came to the third for longer than it takes
+    // to call a holder cut off; the blocks then went to and fro.
+    let mut w = settled(23, 9);
+    let two: Vec<usize> = (0..3).filter(|&i| Some(i) != w.leader()).collect();
+    two.iter().for_each(|&i| w.crash(i));
+    w.run(6000);
+    // One machine goes silent just as they come back.
+    w.workers[0].cut = true;
+    two.iter().for_each(|&i| w.start(i));
+    w.run(1500);
+    let before = w.state.writes_to("qb/grant/");
+    w.run(4500);
+    let moved = w.state.writes_to("qb/grant/") - before;
+    assert!(moved <= 3, "{moved} grants in 4.5 s");
+}
+
 #[test]
 fn a_machine_that_fails_everything_is_drained_and_replaced() {
     let mut w = settled(18, 6);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -98,6 +98,12 @@
         }
     }
 
+    /// How often keys with a prefix were written.
+    pub fn writes_to(&self, starts: &str) -> usize {
+        let of = |n: &&News| n.put.as_ref().is_some_and(|k| k.starts_with(starts));
+        self.history.iter().filter(of).count()
+    }
+
     /// Removes a key behind everybody's back.
     pub fn forget(&mut self, k: &str) {
         self.ledger += 1;
