--- a/src/leader.rs
+++ b/src/leader.rs
@@ -480,8 +480,13 @@
         let left = f64::from(job.spec.legs.saturating_sub(job.done.len()));
         let run = self.run_s(job);
         let rest = run + left * job.spec.vcpus * run / wide;
+        // With more asked than can be done, serving the closest deadline first makes everything
+        // a little late. What costs little is worth saving first: small jobs count as due
+        // earlier, by up to a minute.
+        let work = left * job.spec.vcpus * run;
+        let small = 60.0 * (-work / (wide * 10.0)).exp();
         match job.spec.due_s.or_else(objective) {
-            Some(due) => due - age - rest,
+            Some(due) => due - age - rest - small,
             None => 1e5 - age,
         }
     }
@@ -491,14 +496,14 @@
     fn rank(&self, job: &Job) -> (u8, f64) {
         let slack = self.slack_s(job);
         let due = job.spec.due_s.unwrap_or(0.0);
-        let hopeless = slack < -(due * 0.5 + 5.0).max(20.0);
-        let tier = match (job.spec.urgency, hopeless) {
-            (Urgency::Critical, _) => 0,
-            (Urgency::Urgent, _) => 1,
-            (_, false) => 2,
-            (_, true) => 3,
-        };
-        (tier, slack)
+        let hopeless = slack < -60.0 - (due * 0.5 + 5.0).max(20.0);
+        match (job.spec.urgency, hopeless) {
+            (Urgency::Critical, _) => (0, slack),
+            (Urgency::Urgent, _) => (1, slack),
+            (_, false) => (2, slack),
+            // Late anyway; the longest first, for they decide when everything is done.
+            (_, true) => (3, -self.run_s(job)),
+        }
     }
 
     /// A job that fails and fails is tried again ever more slowly.
@@ -739,10 +744,13 @@
                         continue;
                     };
                     let (v_tier, v_slack) = self.rank(v);
+                    // Long tasks decide when everything is done: they run through.
+                    let v_run = self.run_s(v);
                     let may = v.spec.urgency > job.spec.urgency
+                        && v_run < 60.0
                         && v.spec.waypoint_s > 0.0
                         && (!by_team || v.team == c.team)
-                        && (v_tier > 2 || v_slack > slack.max(0.0) + 30.0)
+                        && (v_tier > 2 || v_slack > slack.max(0.0) + 30.0 + 0.5 * v_run)
                         && !m.evict.contains(e)
                         && !evicted(e, &out, ix);
                     if may {
