--- a/src/leader.rs
+++ b/src/leader.rs
@@ -461,7 +461,7 @@
 
     /// Seconds until the rest of a job must be begun to be done in time. Without a deadline of
     /// its own, the time that the operators' objectives give its class counts.
-    fn slack_s(&self, job: &Job) -> f64 {
+    fn slack_s(&self, job: &Job) -> (f64, f64) {
         let age = self.day_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
         let s = &self.settings.platform.settings;
         let objective = || {
@@ -486,17 +486,25 @@
         let work = left * job.spec.vcpus * run;
         let small = 60.0 * (-work / (wide * 10.0)).exp();
         match job.spec.due_s.or_else(objective) {
-            Some(due) => due - age - rest - small,
-            None => 1e5 - age,
+            Some(due) => (due - age - rest, small),
+            None => (1e5 - age, 0.0),
         }
     }
 
     /// The order in which jobs are served: urgent work first; of the rest, what can still be
     /// done in time, by slack; last, what is late beyond help.
     fn rank(&self, job: &Job) -> (u8, f64) {
-        let slack = self.slack_s(job);
+        let (slack, small) = self.slack_s(job);
         let due = job.spec.due_s.unwrap_or(0.0);
-        let hopeless = slack < -60.0 - (due * 0.5 + 5.0).max(20.0);
+        // Up to the largest multiple of the deadline that the operators still count.
+        let objectives = &self.settings.platform.settings.objectives;
+        let times = objectives
+            .iter()
+            .filter(|o| o.class == job.spec.route)
+            .filter_map(|o| o.times)
+            .fold(1.0, f64::max);
+        let hopeless = slack < -(due * (times - 1.0) + 10.0);
+        let slack = slack - small;
         match (job.spec.urgency, hopeless) {
             (Urgency::Critical, _) => (0, slack),
             (Urgency::Urgent, _) => (1, slack),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -90,9 +90,9 @@
     /// Time it is measured against.
     #[serde(default)]
     pub within_s: Option<f64>,
-    /// Part of the work that should keep it.
+    /// Multiple of the deadline that it is measured against.
     #[serde(default)]
-    pub share: Option<f64>,
+    pub times: Option<f64>,
 }
 
 /// Times of the workers.
