--- a/src/leader.rs
+++ b/src/leader.rs
@@ -503,7 +503,9 @@
             .filter(|o| o.class == job.spec.route)
             .filter_map(|o| o.times)
             .fold(1.0, f64::max);
-        let hopeless = slack < -(due * (times - 1.0) + 10.0);
+        // An objective without a deadline is a wish for the class, and the estimates are rough.
+        let patience = if job.spec.due_s.is_some() { 10.0 } else { 60.0 };
+        let hopeless = slack < -(due * (times - 1.0) + patience);
         let slack = slack - small;
         match (job.spec.urgency, hopeless) {
             (Urgency::Critical, _) => (0, slack),
