--- a/src/core.rs
+++ b/src/core.rs
@@ -166,6 +166,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PeerRt {
     pub heard: Option<Ms>,
+    /// The life it spoke in.
+    pub boot: Option<Boot>,
     pub state_ok: bool,
     /// Ages of what it heard from others when it spoke last.
     pub hears: HashMap<HostIx, u64>,
@@ -275,7 +277,7 @@
     pub(crate) lead: LeadRt,
     pub(crate) day_ms: u64,
     pub(crate) outbox: Vec<(HostIx, crate::wire::Agent)>,
-    started: Option<Ms>,
+    pub(crate) started: Option<Ms>,
 }
 
 impl Core {
@@ -766,6 +768,19 @@
                 .is_some_and(|h| now.since(h) <= self.silent_ms())
     }
 
+    /// Whether a controller that is heard speaks in another life than the one given. The earlier
+    /// one is over then, even if its keys are still there: a controller that comes back without
+    /// the state service cannot say so in any other way.
+    pub(crate) fn reborn(&self, host: HostIx, boot: Boot, now: Ms) -> bool {
+        host != self.me
+            && self.hears(host, now)
+            && self
+                .peers
+                .get(&host)
+                .and_then(|p| p.boot)
+                .is_some_and(|b| b != boot)
+    }
+
     /// Whether somebody else that is heard does not hear `host` either.
     ///
     /// Guards against a controller that is itself cut off, yet reaches the state service, and
@@ -808,7 +823,10 @@
                 let silent = !self.hears(l.host, now)
                     && now.since(started) > self.silent_ms() + 500
                     && self.corroborated(l.host, now);
-                let wait = self.lead.lead_lost_for(replaced || silent, now);
+                // What a peer says of its life may lag behind its key by a message or two.
+                let reborn = self.reborn(l.host, l.boot, now);
+                let wait = self.lead.lead_lost_for(replaced || silent || reborn, now);
+                let patience = if replaced || silent { 0 } else { 1500 };
                 // The lowest-numbered controller that is heard goes first.
                 let rank = self
                     .others
@@ -816,7 +834,7 @@
                     .filter(|&&h| h != l.host && self.hears(h, now))
                     .filter(|&&h| self.view.names.hosts.name(h) < self.my_name())
                     .count() as u64;
-                wait.is_some_and(|w| w >= rank * 600)
+                wait.is_some_and(|w| w >= patience + rank * 600)
             }
         };
         if !take {
@@ -958,6 +976,7 @@
             .collect();
         let peer = PeerRt {
             heard: Some(now),
+            boot: Some(Boot(news.boot)),
             state_ok: news.state_ok,
             hears,
             machines,
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -66,6 +66,8 @@
     round: Option<Round>,
     /// Controllers that do not reach their workers get nothing new until then.
     avoid: HashMap<HostIx, Ms>,
+    /// Since when a controller speaks in another life than its grants name.
+    reborn_since: HashMap<HostIx, Ms>,
 }
 
 /// A round of balancing.
@@ -129,6 +131,13 @@
         }
     }
 
+    /// Whether this controller has listened for long enough to call another one silent. Hearing
+    /// goes on whoever leads, so a new leader that has been up for a while need not wait.
+    fn listened(&self, now: Ms) -> bool {
+        let since = self.started.unwrap_or(now);
+        now.since(since) > self.silent_ms() + 500
+    }
+
     fn grace_over(&self, now: Ms) -> bool {
         now.since(self.lead.since) > self.silent_ms() + 500
     }
@@ -140,7 +149,9 @@
         if host == self.me {
             return node.boot == self.boot;
         }
-        self.hears(host, now) || (!self.grace_over(now) && !self.peers.contains_key(&host))
+        let reborn = self.reborn(host, node.boot, now);
+        (self.hears(host, now) && !reborn)
+            || (!self.listened(now) && !self.peers.contains_key(&host))
     }
 
     /// Grants blocks that nobody holds, or whose holder is gone or silent, and evens them out.
@@ -162,6 +173,23 @@
             }
         }
         let strays = self.misled_blocks(now);
+        let odd: HashSet<HostIx> = self
+            .view
+            .grants
+            .values()
+            .filter(|g| self.reborn(g.host, g.boot, now))
+            .map(|g| g.host)
+            .collect();
+        let reborn_since = &mut self.lead.reborn_since;
+        reborn_since.retain(|h, _| odd.contains(h));
+        for &h in &odd {
+            reborn_since.entry(h).or_insert(now);
+        }
+        let reborn: HashSet<HostIx> = reborn_since
+            .iter()
+            .filter(|(_, t)| now.since(**t) >= 1500)
+            .map(|(&h, _)| h)
+            .collect();
         let mut give: Vec<(BlockId, HostIx, &'static str)> = Vec::new();
         for (&id, block) in &self.view.blocks {
             let grant = self.view.grants.get(&id);
@@ -173,10 +201,12 @@
                         "holder replaced"
                     } else if g.host != self.me
                         && !self.hears(g.host, now)
-                        && self.grace_over(now)
+                        && self.listened(now)
                         && self.corroborated(g.host, now)
                     {
                         "holder silent"
+                    } else if reborn.contains(&g.host) && self.reborn(g.host, g.boot, now) {
+                        "holder restarted"
                     } else if strays.contains_key(&id) {
                         "holder cut off from its workers"
                     } else {
@@ -191,7 +221,7 @@
                 usable
                     .iter()
                     .copied()
-                    .filter(|&h| why != "holder silent" || Some(h) != grant.map(|g| g.host))
+                    .filter(|&h| why == "unheld" || Some(h) != grant.map(|g| g.host))
                     .min_by_key(|h| count.get(h).copied().unwrap_or(0))
             });
             let Some(to) = to else { continue };
@@ -245,7 +275,7 @@
     /// Blocks whose machines report to somebody else because their holder does not answer them.
     fn misled_blocks(&self, now: Ms) -> HashMap<BlockId, HostIx> {
         let mut out = HashMap::new();
-        if !self.grace_over(now) {
+        if !self.listened(now) {
             return out;
         }
         let mine = self.my_strays(now);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -141,6 +141,24 @@
     }
 }
 
+#[test]
+fn a_leader_that_comes_back_without_the_state_service_is_replaced() {
+    // Its peers hear it, and its keys last for a whole lease; but its earlier life is over.
+    let mut w = settled(24, 9);
+    w.run_ms = 40_000;
+    let job = w.submit(1, w.spec(16));
+    w.until(15_000, "all run", |w| w.running() == 16);
+    let leader = w.leader().expect("leads");
+    w.links[leader].state = Mood::Refuses;
+    (0..3).for_each(|i| w.crash(i));
+    w.run(3000);
+    (0..3).for_each(|i| w.start(i));
+    w.until(6000, "another leads", |w| w.leader().is_some());
+    w.until(60_000, "done", |w| w.is_done(&job));
+    w.assert_kept();
+    assert_eq!(w.starts.len(), 16, "no running task was lost");
+}
+
 #[test]
 fn an_old_leader_writes_nothing_after_another_took_over() {
     let mut w = settled(9, 6);
