Listen 1.5 s after a start before calling others silent

Cause: when all crash while one is cut, its blocks were granted anew 9.3 s after the crash, too late for a worker lease of 12 s.

--- a/src/core.rs
+++ b/src/core.rs
@@ -758,6 +758,13 @@
         (self.settings.options.peers_silent_s * 1000.0) as u64
     }
 
+    /// How long a controller that has just started listens before it calls others silent. After
+    /// a restart of all, most of the workers' lease is used up already; and to suspect one that
+    /// only starts later costs no more than a change of holders.
+    pub(crate) fn settling_ms(&self) -> u64 {
+        (2.0 * self.settings.options.peers_period_ms) as u64 + 100
+    }
+
     /// Whether a peer was heard lately, in the life that its key shows.
     pub(crate) fn hears(&self, host: HostIx, now: Ms) -> bool {
         host == self.me
@@ -821,7 +828,7 @@
                     .get(&l.host)
                     .is_none_or(|n| n.boot != l.boot);
                 let silent = !self.hears(l.host, now)
-                    && now.since(started) > self.silent_ms() + 500
+                    && now.since(started) > self.settling_ms()
                     && self.corroborated(l.host, now);
                 // What a peer says of its life may lag behind its key by a message or two.
                 let reborn = self.reborn(l.host, l.boot, now);
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -135,7 +135,7 @@
     /// goes on whoever leads, so a new leader that has been up for a while need not wait.
     fn listened(&self, now: Ms) -> bool {
         let since = self.started.unwrap_or(now);
-        now.since(since) > self.silent_ms() + 500
+        now.since(since) > self.settling_ms()
     }
 
     fn grace_over(&self, now: Ms) -> bool {
