--- a/src/leader.rs
+++ b/src/leader.rs
@@ -39,6 +39,10 @@
     lead_lost: Option<Ms>,
     warm: HashMap<MachineIx, Vec<ImageIx>>,
     listed: HashMap<MachineIx, Listed>,
+    /// When a machine was last heard by any holder, as far as this leader knows.
+    heard: HashMap<MachineIx, Ms>,
+    /// Since when a block's grant is known, by its token.
+    granted: HashMap<BlockId, (u64, Ms)>,
     /// Lists in a row that did not show a machine of ours.
     absent: HashMap<MachineIx, u32>,
     /// Machines to be put into blocks.
@@ -304,7 +308,24 @@
 
     /// Keeps track of what machines are there and since when.
     fn note_machines(&mut self, now: Ms) {
+        let ages: Vec<(MachineIx, u64)> = self
+            .view
+            .machines
+            .keys()
+            .filter_map(|&ix| Some((ix, self.machine_info(ix, now)?.age_ms?)))
+            .collect();
         let lead = &mut self.lead;
+        for (ix, age) in ages {
+            let at = Ms(now.0.saturating_sub(age));
+            let heard = lead.heard.entry(ix).or_insert(at);
+            *heard = at.max(*heard);
+        }
+        for (&id, g) in &self.view.grants {
+            let known = lead.granted.entry(id).or_insert((g.stamp, now));
+            if known.0 != g.stamp {
+                *known = (g.stamp, now);
+            }
+        }
         for (&ix, m) in &self.view.machines {
             lead.first_seen.entry(ix).or_insert(now);
             if m.queue.is_empty() {
@@ -323,6 +344,7 @@
         }
         let there = |m: &MachineIx| self.view.machines.contains_key(m);
         lead.first_seen.retain(|m, _| there(m));
+        lead.heard.retain(|m, _| there(m));
         lead.idle_since.retain(|m, _| there(m));
         lead.warm.retain(|m, _| there(m));
         lead.gone.retain(there);
@@ -1052,16 +1074,22 @@
         let seen = self.lead.first_seen.get(&ix).map_or(0, |&t| now.since(t));
         let missing = absent && seen > lag;
         let lost = self.settings.worker_gone_ms() + 8000;
-        match self.machine_info(ix, now) {
-            Some(i) => match i.age_ms {
-                Some(age) => age > lost || (missing && age > self.settings.worker_gone_ms()),
-                None => {
-                    let held = listed.map_or(seen, |l| now.since(l.rented_at));
-                    let patience = (frame.boot_s * 3.5 * 1000.0) as u64 + 20_000;
-                    missing || (held > patience && seen > lost)
-                }
-            },
-            None => false,
+        if self.machine_info(ix, now).is_none() {
+            return false;
+        }
+        // A new holder has not heard any of its machines at first. That says nothing of them:
+        // what earlier holders heard counts on, and the new one gets its time.
+        let granted = self.lead.granted.get(&m.block);
+        let held_for = granted.map_or(0, |g| now.since(g.1));
+        match self.lead.heard.get(&ix).map(|&at| now.since(at)) {
+            Some(age) => {
+                (age > lost && held_for > lost) || (missing && age > self.settings.worker_gone_ms())
+            }
+            None => {
+                let held = listed.map_or(seen, |l| now.since(l.rented_at));
+                let patience = (frame.boot_s * 3.5 * 1000.0) as u64 + 20_000;
+                missing || (held > patience && seen > lost && held_for > lost)
+            }
         }
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -435,6 +435,26 @@
     assert!(moved <= 3, "{moved} grants in 4.5 s");
 }
 
+#[test]
+fn a_change_of_holders_is_no_reason_to_return_machines() {
+    // Just after a grant the holder has heard none of its machines; the leader took those that
+    // were rented long ago for dead and returned them with all that ran there.
+    let mut w = settled(25, 9);
+    w.run_ms = 200_000;
+    w.submit(1, w.spec(16));
+    w.until(15_000, "all run", |w| w.running() == 16);
+    w.run(50_000);
+    let other = (w.leader().expect("leads") + 1) % 3;
+    w.crash(other);
+    w.run(6000);
+    w.start(other);
+    w.run(20_000);
+    let busy = w.workers.iter().filter(|m| !m.tasks.is_empty()).count();
+    assert!(busy > 0);
+    assert_eq!(w.running(), 16, "returned: {:?}", w.returned);
+    assert_eq!(w.starts.len(), 16);
+}
+
 #[test]
 fn a_machine_that_fails_everything_is_drained_and_replaced() {
     let mut w = settled(18, 6);
