--- a/src/leader.rs
+++ b/src/leader.rs
@@ -944,7 +944,7 @@
         };
         // The replica must show what is bound before idleness means anything.
         if self.grace_over(now) {
-            self.close_machines(&demand, &fleet, now);
+            self.close_machines(&demand, &fleet, &rules, now);
             for ix in fleet::give_back(&demand, &fleet, &rules) {
                 self.lead.leave.insert(ix);
             }
@@ -1011,13 +1011,13 @@
 
     /// Closes machines that are not needed, and empties one whose tasks can all save when the
     /// others have room for them.
-    fn close_machines(&mut self, demand: &[Demand], fleet: &[Rented], now: Ms) {
+    fn close_machines(&mut self, demand: &[Demand], fleet: &[Rented], rules: &Rules, now: Ms) {
         let up: Vec<(Rented, f64)> = fleet
             .iter()
             .filter(|m| self.available(m.machine, now))
             .map(|m| (m.clone(), self.used(m.machine).cpus))
             .collect();
-        self.lead.closed = fleet::close(demand, &up).into_iter().collect();
+        self.lead.closed = fleet::close(demand, &up, rules).into_iter().collect();
         if now < self.lead.next_consolidation {
             return;
         }
