--- a/src/api.rs
+++ b/src/api.rs
@@ -157,6 +157,15 @@
             let refusal = refuse(StatusCode::UNPROCESSABLE_ENTITY, &why);
             return self.known_or(&name, refusal).await;
         }
+        // More than can be kept in memory is refused at once; what was accepted stays accepted.
+        let full = {
+            let core = self.shared.core.lock();
+            core.view.jobs.len() >= core.settings.options.jobs_most as usize
+        };
+        if full {
+            let refusal = later(StatusCode::TOO_MANY_REQUESTS, "too many unfinished jobs");
+            return self.known_or(&name, refusal).await;
+        }
         if !self.state_up() {
             return unavailable("the state service is out of reach");
         }
--- a/src/service.rs
+++ b/src/service.rs
@@ -477,8 +477,8 @@
         "started"
     );
     let open = Rc::new(Cell::new(0));
-    let most = 100_000;
-    let behind = serve(back, api::back(door.clone()), most, Rc::new(Cell::new(0)));
+    let most = settings.connections();
+    let behind = serve(back, api::back(door.clone()), 1000, Rc::new(Cell::new(0)));
     actix_rt::spawn(async move {
         if let Err(e) = behind.await {
             error!(error = %e, "the address behind is not served");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -128,6 +128,14 @@
     pub list_lag_s: f64,
 }
 
+/// What a controller may use.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct Resources {
+    /// Sockets.
+    #[serde(default)]
+    pub max_sockets: Option<usize>,
+}
+
 /// What the deployment promises and allows.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Params {
@@ -151,6 +159,9 @@
     pub state: StateLimits,
     /// Cloud.
     pub cloud: CloudLimits,
+    /// This controller's share.
+    #[serde(default)]
+    pub resources: Resources,
 }
 
 /// The platform's file.
@@ -290,6 +301,8 @@
     fleet_refused_s: "fleet/refused-s" = 15.0 in 1.0..=3600.0;
     /// Most machines rented at a time.
     fleet_most: "fleet/most" = 200.0 in 1.0..=1000.0;
+    /// Most unfinished jobs; more are answered with 429.
+    jobs_most: "jobs/most" = 3000.0 in 1.0..=1000000.0;
     /// Milliseconds between messages to a peer.
     peers_period_ms: "peers/period-ms" = 700.0 in 100.0..=10000.0;
     /// Seconds of silence after which a peer is suspected.
@@ -442,6 +455,12 @@
         (self.value_bytes().saturating_sub(1200) / 14).clamp(16, 5000)
     }
 
+    /// Connections taken on the public address; the rest of the sockets is for our own calls.
+    pub fn connections(&self) -> usize {
+        let sockets = self.platform.settings.resources.max_sockets;
+        sockets.map_or(100_000, |s| (s * 4 / 5).max(8))
+    }
+
     /// Machines in a block: bounded by the operators and by what a value can list.
     pub fn block_machines(&self) -> usize {
         (self.options.block_machines as usize).clamp(1, (self.value_bytes() / 380).max(1))
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -18,6 +18,15 @@
     w
 }
 
+/// A settled world in which all tasks of one job run, each for `run_ms`.
+fn busy(seed: u64, machines: usize, run_ms: u64, tasks: u32) -> (World, String) {
+    let mut w = settled(seed, machines);
+    w.run_ms = run_ms;
+    let job = w.submit(1, w.spec(tasks));
+    w.until(15_000, "all run", |w| w.running() == tasks as usize);
+    (w, job)
+}
+
 #[test]
 fn a_job_is_bound_started_finished_and_told_done() {
     let mut w = settled(1, 3);
@@ -49,10 +58,7 @@
 
 #[test]
 fn a_crashed_holder_is_replaced_while_its_tasks_run_on() {
-    let mut w = settled(3, 6);
-    w.run_ms = 25_000;
-    let job = w.submit(1, w.spec(16));
-    w.until(15_000, "all run", |w| w.running() == 16);
+    let (mut w, job) = busy(3, 6, 25_000, 16);
     let dead = (w.leader().expect("leads") + 1) % 3;
     w.crash(dead);
     w.until(60_000, "done", |w| w.is_done(&job));
@@ -73,10 +79,7 @@
 
 #[test]
 fn when_all_crash_and_come_back_running_tasks_survive() {
-    let mut w = settled(5, 6);
-    w.run_ms = 30_000;
-    let job = w.submit(1, w.spec(12));
-    w.until(15_000, "all run", |w| w.running() == 12);
+    let (mut w, job) = busy(5, 6, 30_000, 12);
     (0..3).for_each(|i| w.crash(i));
     w.run(6000);
     (0..3).for_each(|i| w.start(i));
@@ -144,10 +147,7 @@
 #[test]
 fn a_leader_that_comes_back_without_the_state_service_is_replaced() {
     // Its peers hear it, and its keys last for a whole lease; but its earlier life is over.
-    let mut w = settled(24, 9);
-    w.run_ms = 40_000;
-    let job = w.submit(1, w.spec(16));
-    w.until(15_000, "all run", |w| w.running() == 16);
+    let (mut w, job) = busy(24, 9, 40_000, 16);
     let leader = w.leader().expect("leads");
     w.links[leader].state = Mood::Refuses;
     (0..3).for_each(|i| w.crash(i));
@@ -188,10 +188,7 @@
 
 #[test]
 fn machines_that_cannot_reach_their_holder_get_another() {
-    let mut w = settled(11, 6);
-    w.run_ms = 30_000;
-    let job = w.submit(1, w.spec(16));
-    w.until(15_000, "all run", |w| w.running() == 16);
+    let (mut w, job) = busy(11, 6, 30_000, 16);
     let cut = (w.leader().expect("leads") + 1) % 3;
     w.links[cut].workers = false;
     w.until(80_000, "done", |w| w.is_done(&job));
@@ -205,10 +202,7 @@
 
 #[test]
 fn tasks_of_a_silent_machine_run_elsewhere_only_after_its_lease() {
-    let mut w = settled(12, 6);
-    w.run_ms = 20_000;
-    let job = w.submit(1, w.spec(8));
-    w.until(15_000, "all run", |w| w.running() == 8);
+    let (mut w, job) = busy(12, 6, 20_000, 8);
     let at = w
         .workers
         .iter()
@@ -259,10 +253,7 @@
 fn a_report_is_taken_in_whole_although_the_machine_type_is_unknown() {
     // Found by a hunt: a controller restarted while the cloud was away took reports under its
     // token but left out the tasks in them, and gave running tasks to thieves.
-    let mut w = settled(15, 6);
-    w.run_ms = 40_000;
-    let job = w.submit(1, w.spec(16));
-    w.until(15_000, "all run", |w| w.running() == 16);
+    let (mut w, job) = busy(15, 6, 40_000, 16);
     w.cloud_up = false;
     (0..3).for_each(|i| w.crash(i));
     w.run(1000);
@@ -398,10 +389,7 @@
 
 #[test]
 fn a_machine_that_went_while_nobody_looked_is_missed_by_the_list() {
-    let mut w = settled(22, 6);
-    w.run_ms = 40_000;
-    let job = w.submit(1, w.spec(16));
-    w.until(15_000, "all run", |w| w.running() == 16);
+    let (mut w, job) = busy(22, 6, 40_000, 16);
     (0..3).for_each(|i| w.crash(i));
     let busy = w.workers.iter().position(|m| !m.tasks.is_empty());
     let gone = w.workers.remove(busy.expect("busy"));
@@ -439,10 +427,7 @@
 fn a_change_of_holders_is_no_reason_to_return_machines() {
     // Just after a grant the holder has heard none of its machines; the leader took those that
     // were rented long ago for dead and returned them with all that ran there.
-    let mut w = settled(25, 9);
-    w.run_ms = 200_000;
-    w.submit(1, w.spec(16));
-    w.until(15_000, "all run", |w| w.running() == 16);
+    let (mut w, _) = busy(25, 9, 200_000, 16);
     w.run(50_000);
     let other = (w.leader().expect("leads") + 1) % 3;
     w.crash(other);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -726,19 +726,5 @@
 }
 
 pub fn catalog() -> Catalog {
-    let frame = |label: &str, vcpus: f64, price: f64| Frame {
-        label: label.into(),
-        vcpus,
-        gpus: 0.0,
-        ram_gb: vcpus * 4.0,
-        local_gb: 50.0,
-        fetch_gb_per_s: 0.5,
-        price,
-        market_price: price / 3.0,
-        boot_s: 5.0,
-        yards: vec!["north".into(), "south".into()],
-    };
-    Catalog {
-        frames: vec![frame("small", 4.0, 0.2), frame("large", 32.0, 2.0)],
-    }
+    serde_json::from_str(include_str!("catalog.json")).expect("good")
 }
