--- a/benches/costs.rs
+++ b/benches/costs.rs
@@ -41,7 +41,7 @@
         w.submit(n, spec);
     }
     w.run(20_000);
-    let new = || Histogram::<u64>::new(3).expect("three digits are possible");
+    let new = || Histogram::<u64>::new_with_bounds(1, 10_000_000_000, 3).expect("good bounds");
     let (mut report, mut step, mut peer, mut read) = (new(), new(), new(), new());
     for _ in 0..300 {
         measure(&mut step, || w.step());
