--- a/src/queue.rs
+++ b/src/queue.rs
@@ -178,7 +178,14 @@
     rng: &mut impl Rng,
 ) -> Vec<Binding> {
     let mut out = Vec::new();
+    let mut held: HashSet<TeamIx> = HashSet::new();
     for job in jobs {
+        // Room under a team's limit comes free a little at a time. It is kept for the first job
+        // that waits for it: otherwise smaller tasks of later jobs would take every bit, and a
+        // task that needs two CPUs would never start.
+        if held.contains(&job.team) {
+            continue;
+        }
         let Some(team) = teams.get_mut(&job.team) else {
             continue;
         };
@@ -204,6 +211,9 @@
             taken += 1;
         }
         job.tasks.drain(..taken);
+        if !job.tasks.is_empty() && !within(&job.needs.room, team) {
+            held.insert(job.team);
+        }
     }
     out
 }
@@ -326,6 +336,28 @@
         assert_eq!(run(&mut slots, job(9, needs()), 3.0).len(), 3);
     }
 
+    #[test]
+    fn room_under_a_limit_is_kept_for_the_job_that_waits_for_it() {
+        let mut slots = [slot(0, 0, 8.0)];
+        let mut big = job(1, needs());
+        big.needs.room.cpus = 2.0;
+        let mut small = job(4, needs());
+        small.job = JobIx::from_raw(1);
+        let cpus = Room {
+            cpus: 1.0,
+            ..Room::default()
+        };
+        let mut teams = HashMap::from([(TeamIx::from_raw(0), cpus)]);
+        let limits = Limits {
+            ahead_s: 3.0,
+            sample: 16,
+            most: 100,
+        };
+        let mut rng = SmallRng::seed_from_u64(1);
+        let jobs = &mut [big, small];
+        assert!(plan(&mut slots, jobs, &mut teams, limits, &mut rng).is_empty());
+    }
+
     #[test]
     fn a_queue_takes_what_starts_at_once_and_a_little_ahead() {
         // Ten seconds of work on each CPU: of four tasks none ends soon enough, of forty some.
