--- a/src/leader.rs
+++ b/src/leader.rs
@@ -593,7 +593,7 @@
         if now < self.lead.next_bind && self.lead.bind_version == self.view.version {
             return None;
         }
-        self.lead.next_bind = now.plus(500);
+        self.lead.next_bind = now.plus(200);
         self.lead.bind_version = self.view.version;
         let mut slots = self.slots(now);
         if slots.is_empty() {
@@ -933,7 +933,7 @@
         if now < self.lead.next_fleet {
             return;
         }
-        self.lead.next_fleet = now.plus(1000);
+        self.lead.next_fleet = now.plus(500);
         self.give_up_machines(now);
         let (demand, fleet) = (self.demand(), self.fleet(now));
         let rules = Rules {
