--- a/src/queue.rs
+++ b/src/queue.rs
@@ -179,6 +179,7 @@
 ) -> Vec<Binding> {
     let mut out = Vec::new();
     let mut held: HashSet<TeamIx> = HashSet::new();
+    let mut kept = vec![false; slots.len()];
     for job in jobs {
         // Room under a team's limit comes free a little at a time. It is kept for the first job
         // that waits for it: otherwise smaller tasks of later jobs would take every bit, and a
@@ -194,7 +195,7 @@
             if out.len() >= limits.most || !within(&job.needs.room, team) {
                 break;
             }
-            let Some(at) = choose(slots, job, limits, rng) else {
+            let Some(at) = choose(slots, &kept, job, limits, rng) else {
                 break;
             };
             let slot = &mut slots[at];
@@ -213,17 +214,48 @@
         job.tasks.drain(..taken);
         if !job.tasks.is_empty() && !within(&job.needs.room, team) {
             held.insert(job.team);
+        } else if !job.tasks.is_empty() {
+            keep(slots, &mut kept, job);
         }
     }
     out
 }
 
+/// Machines kept for one job that found no room.
+const KEPT: usize = 4;
+
+/// Keeps the machines that will soonest have room for a waiting job's tasks from the jobs after
+/// it: on a full fleet, tasks of one CPU would take every bit that comes free, and a task of
+/// two would never start.
+fn keep(slots: &[Slot], kept: &mut [bool], job: &Candidate) {
+    let mut waits: Vec<(f64, usize)> = slots
+        .iter()
+        .enumerate()
+        .filter(|(i, s)| {
+            !kept[*i]
+                && job.needs.suits(s.frame, s.zone, s.spot, &s.size)
+                && job.needs.zone_suits(s.zone, &job.zones)
+        })
+        .map(|(i, s)| (s.wait_s(&job.needs.room), i))
+        .collect();
+    waits.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for &(_, i) in waits.iter().take(KEPT.min(job.tasks.len())) {
+        kept[i] = true;
+    }
+}
+
 /// Memory has no team limit.
 fn within(need: &Room, left: &Room) -> bool {
     need.cpus <= left.cpus + EPS && need.gpus <= left.gpus + EPS
 }
 
-fn choose(slots: &[Slot], job: &Candidate, limits: Limits, rng: &mut impl Rng) -> Option<usize> {
+fn choose(
+    slots: &[Slot],
+    kept: &[bool],
+    job: &Candidate,
+    limits: Limits,
+    rng: &mut impl Rng,
+) -> Option<usize> {
     let score = |slot: &Slot| -> Option<(f64, f64)> {
         let needs = &job.needs;
         if !needs.suits(slot.frame, slot.zone, slot.spot, &slot.size)
@@ -244,6 +276,7 @@
     };
     let best = |indices: &mut dyn Iterator<Item = usize>| {
         indices
+            .filter(|&i| !kept[i])
             .filter_map(|i| Some((score(&slots[i])?, i)))
             .min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal))
             .map(|(_, i)| i)
@@ -358,6 +391,30 @@
         assert!(plan(&mut slots, jobs, &mut teams, limits, &mut rng).is_empty());
     }
 
+    #[test]
+    fn a_machine_is_kept_for_the_job_that_waits_for_room() {
+        let mut full = slot(0, 0, 4.0);
+        full.used.cpus = 3.0;
+        full.load = 20.0;
+        let mut big = job(1, needs());
+        big.needs.room.cpus = 2.0;
+        let mut small = job(4, needs());
+        small.job = JobIx::from_raw(1);
+        let limits = Limits {
+            ahead_s: 3.0,
+            sample: 16,
+            most: 100,
+        };
+        let cpus = Room {
+            cpus: 99.0,
+            ..Room::default()
+        };
+        let mut teams = HashMap::from([(TeamIx::from_raw(0), cpus)]);
+        let mut rng = SmallRng::seed_from_u64(1);
+        let jobs = &mut [big, small];
+        assert!(plan(&mut [full], jobs, &mut teams, limits, &mut rng).is_empty());
+    }
+
     #[test]
     fn a_queue_takes_what_starts_at_once_and_a_little_ahead() {
         // Ten seconds of work on each CPU: of four tasks none ends soon enough, of forty some.
