--- a/src/queue.rs
+++ b/src/queue.rs
@@ -239,7 +239,10 @@
         .map(|(i, s)| (s.wait_s(&job.needs.room), i))
         .collect();
     waits.sort_by(|a, b| a.0.total_cmp(&b.0));
-    for &(_, i) in waits.iter().take(KEPT.min(job.tasks.len())) {
+    let spare = KEPT
+        .max(slots.len() / 4)
+        .saturating_sub(kept.iter().filter(|k| **k).count());
+    for &(_, i) in waits.iter().take(KEPT.min(job.tasks.len()).min(spare)) {
         kept[i] = true;
     }
 }
