--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -509,28 +509,10 @@
             }
             w.run(luck.random_range(1000..9000));
             if luck.random_bool(0.6) {
-                for i in 0..3 {
-                    w.links[i].state = Mood::Good;
-                    w.links[i].peers = true;
-                    w.links[i].workers = true;
-                    w.links[i].watch_hangs = false;
-                    if w.nodes[i].is_none() {
-                        w.start(i);
-                    }
-                }
-                w.workers.iter_mut().for_each(|m| m.cut = false);
-            }
-        }
-        for i in 0..3 {
-            w.links[i].state = Mood::Good;
-            w.links[i].peers = true;
-            w.links[i].workers = true;
-            w.links[i].watch_hangs = false;
-            if w.nodes[i].is_none() {
-                w.start(i);
+                w.heal();
             }
         }
-        w.workers.iter_mut().for_each(|m| m.cut = false);
+        w.heal();
         w.until(200_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
         w.assert_kept();
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -430,6 +430,17 @@
         self.job(name).is_some_and(|j| j.st == JobStatus::Done)
     }
 
+    /// Ends every trouble and starts what is down.
+    pub fn heal(&mut self) {
+        self.links = vec![GOOD; 3];
+        self.workers.iter_mut().for_each(|m| m.cut = false);
+        for i in 0..3 {
+            if self.nodes[i].is_none() {
+                self.start(i);
+            }
+        }
+    }
+
     /// Plays on for a while.
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms;
