--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -517,3 +517,24 @@
         w.assert_kept();
     }
 }
+
+#[test]
+fn a_storm_of_refusals_and_clocks_at_their_bound_keep_the_rules() {
+    for seed in 0..4 {
+        let mut w = settled(300 + seed, 6);
+        w.drift = [0.0005, 0.0, -0.0005];
+        let jobs: Vec<String> = (1..=3).map(|n| w.submit(n, w.spec(20))).collect();
+        for i in 0..3 {
+            w.links[i].state = Mood::Moody;
+        }
+        w.run(30_000);
+        let busy = w.workers.iter().position(|m| !m.tasks.is_empty());
+        if let Some(at) = busy {
+            w.workers[at].cut = true;
+        }
+        w.run(30_000);
+        w.heal();
+        w.until(120_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
+        w.assert_kept();
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -22,6 +22,8 @@
     Late(u64),
     /// 429 or 503.
     Refuses,
+    /// Any of these, as luck has it.
+    Moody,
 }
 
 struct Key {
@@ -258,6 +260,8 @@
     pub starts: Vec<(u64, String, String)>,
     pub broken: Vec<String>,
     pub returned: BTreeSet<String>,
+    /// How much faster than true time each controller's steady clock runs.
+    pub drift: [f64; 3],
     pub settings: Settings,
     bookings: HashMap<String, Vec<String>>,
     rng: SmallRng,
@@ -281,6 +285,7 @@
             starts: Vec::new(),
             broken: Vec::new(),
             returned: BTreeSet::new(),
+            drift: [0.0; 3],
             settings,
             bookings: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -324,6 +329,11 @@
         name
     }
 
+    /// A controller's steady clock.
+    pub fn clock(&self, i: usize) -> Ms {
+        Ms((self.now as f64 * (1.0 + self.drift[i])) as u64)
+    }
+
     pub fn start(&mut self, i: usize) {
         let mut s = self.settings.clone();
         let names = ["n0", "n1", "n2"];
@@ -374,7 +384,7 @@
                 .get(rig)
                 .and_then(|m| v.holder(m))
                 .is_some_and(|h| h.1.host == n.core.me)
-                && n.core.has_authority(Ms(self.now))
+                && n.core.has_authority(self.clock(i))
         })
     }
 
@@ -474,9 +484,10 @@
         let Some(mut node) = self.nodes[i].take() else {
             return;
         };
-        let now = Ms(self.now);
+        let now = self.clock(i);
         let link = self.links[i];
-        if self.now >= node.next_watch && link.state == Mood::Good && !link.watch_hangs {
+        let watched = matches!(link.state, Mood::Good | Mood::Moody);
+        if self.now >= node.next_watch && watched && !link.watch_hangs {
             if node.loaded {
                 let list = self.state.news("qb/", node.core.view.ledger);
                 node.core.on_news(list, now, now);
@@ -499,8 +510,8 @@
     }
 
     fn carry_out(&mut self, i: usize, core: &mut Core, action: Action) -> bool {
-        let (now, mood) = (Ms(self.now), self.links[i].state);
-        let reachable = matches!(mood, Mood::Good | Mood::LosesAnswers | Mood::Late(_));
+        let (now, mood) = (self.clock(i), self.links[i].state);
+        let reachable = mood != Mood::Refuses;
         match action {
             Action::NewLease { life_ms } if reachable => {
                 core.on_lease(self.state.lease(life_ms, self.now), now);
@@ -513,7 +524,7 @@
                 None => core.on_lease_gone(permit, now),
             },
             Action::NewLease { .. } | Action::Renew { .. } => core.on_lease_failed(now),
-            Action::Commit { op, txn } => return self.commit(core, op, txn, mood),
+            Action::Commit { op, txn } => return self.commit(i, core, op, txn, mood),
             Action::Peer { host, news } => {
                 let name = core.view.names.hosts.name(host).to_owned();
                 let Some(j) = ["n0", "n1", "n2"].iter().position(|n| *n == name) else {
@@ -522,9 +533,10 @@
                 if !self.links[i].peers || !self.links[j].peers {
                     return false;
                 }
+                let theirs = self.clock(j);
                 if let Some(peer) = self.nodes[j].as_mut() {
-                    peer.core.on_peer(*news, now);
-                    core.on_peer(peer.core.peer_news(now), now);
+                    peer.core.on_peer(*news, theirs);
+                    core.on_peer(peer.core.peer_news(theirs), now);
                 }
             }
             Action::Catalog if self.cloud_up => core.on_catalog(catalog()),
@@ -558,7 +570,14 @@
         false
     }
 
-    fn commit(&mut self, core: &mut Core, op: Op, txn: Txn, mood: Mood) -> bool {
+    fn commit(&mut self, i: usize, core: &mut Core, op: Op, txn: Txn, mood: Mood) -> bool {
+        let mood = match (mood, self.rng.random_range(0..6)) {
+            (Mood::Moody, 0) => Mood::LosesAnswers,
+            (Mood::Moody, 1) => Mood::Late(self.rng.random_range(100..5000)),
+            (Mood::Moody, 2 | 3) => Mood::Refuses,
+            (Mood::Moody, _) => Mood::Good,
+            (mood, _) => mood,
+        };
         let outcome = match mood {
             Mood::Good => self.state.commit(&txn),
             Mood::LosesAnswers => {
@@ -569,9 +588,9 @@
                 self.state.late.push((self.now + ms, txn));
                 Outcome::Unknown
             }
-            Mood::Refuses => Outcome::Refused,
+            Mood::Refuses | Mood::Moody => Outcome::Refused,
         };
-        core.on_commit(op, outcome, Ms(self.now));
+        core.on_commit(op, outcome, self.clock(i));
         matches!(outcome, Outcome::Done(_))
     }
 
@@ -602,8 +621,9 @@
         w.tally += 1;
         let report = w.report();
         let node = w.at;
+        let clock = self.clock(node);
         let reply = match (&mut self.nodes[node], self.links[node].workers) {
-            (Some(n), true) => n.core.on_report(report, Ms(now)),
+            (Some(n), true) => n.core.on_report(report, clock),
             _ => Reply::Unavailable,
         };
         let w = &mut self.workers[at];
