Tidy: one conversion to room, ranks once a plan, light machine lookups, a named renting step

Behaviour unchanged. Machine news with names and counts was built several times a tick for an age or a flag; ranks were computed for every queue entry of every blocked job; the catalog's write was prepared on every idle tick. An unused method and a leftover block go; two tests share a set-up.

--- a/src/core.rs
+++ b/src/core.rs
@@ -162,6 +162,17 @@
     moves: Vec<Move>,
 }
 
+/// What decides whether a machine can be used.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct MachineInfo {
+    /// Milliseconds since its last report to its present holder.
+    pub age_ms: Option<u64>,
+    /// Under notice of the cloud.
+    pub recalled: bool,
+    /// Fails what it starts.
+    pub sick: bool,
+}
+
 /// What is known of a peer.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PeerRt {
@@ -1010,12 +1021,7 @@
 
     /// Size of a machine; none while its type is unknown.
     pub(crate) fn size(&self, m: &Machine) -> Option<Room> {
-        let f = self.frames.get(&m.frame)?;
-        Some(Room {
-            cpus: f.vcpus,
-            gpus: f.gpus,
-            ram: f.ram_gb,
-        })
+        self.frames.get(&m.frame).map(Room::from)
     }
 
     /// Expected seconds of a task, the owners' estimates corrected by what was observed.
@@ -1246,7 +1252,7 @@
                     Some(Cause::Error) => End::Failed,
                     _ => End::Free,
                 };
-                if !self.ends.contains_key(&(entry.attempt, task)) {
+                if !self.ended(&entry) {
                     if let (Some(job), End::Done, Some(since), Some(was)) = (job, end, since, was)
                         && was.status == LegStatus::Running
                         && job.spec.ride_s > 0.0
@@ -1310,7 +1316,7 @@
                 }
                 continue;
             };
-            if on_it || self.reserved.contains(e) || self.ends.contains_key(&(e.attempt, e.task)) {
+            if on_it || self.reserved.contains(e) || self.ended(e) {
                 continue;
             }
             if leaving || machine.evict.contains(e) {
@@ -1591,17 +1597,36 @@
     }
 
     /// What is known of a machine now, from its holder.
-    pub(crate) fn machine_info(&self, ix: MachineIx, now: Ms) -> Option<MachineNews> {
+    pub(crate) fn machine_info(&self, ix: MachineIx, now: Ms) -> Option<MachineInfo> {
         let (_, grant) = self.view.holder(ix)?;
         if grant.host == self.me {
             let rt = self.rt.get(&ix)?;
-            return Some(self.machine_news(ix, rt, now));
+            return Some(MachineInfo {
+                age_ms: rt.heard.map(|h| now.since(h)),
+                recalled: rt.recall_at.is_some(),
+                sick: rt.sick,
+            });
         }
         let peer = self.peers.get(&grant.host)?;
         let age = now.since(peer.heard?);
-        let mut news = peer.machines.get(&ix)?.clone();
-        news.age_ms = news.age_ms.map(|a| a + age);
-        Some(news)
+        let news = peer.machines.get(&ix)?;
+        Some(MachineInfo {
+            age_ms: news.age_ms.map(|a| a + age),
+            recalled: news.recall_s.is_some(),
+            sick: news.sick,
+        })
+    }
+
+    /// Load of a machine's queue, as its holder sees it; 0 if that is unknown.
+    pub(crate) fn known_load(&self, ix: MachineIx, now: Ms) -> f64 {
+        match self.view.holder(ix) {
+            Some((_, g)) if g.host == self.me => self.queue_load(ix, now),
+            Some((_, g)) => {
+                let news = self.peers.get(&g.host).and_then(|p| p.machines.get(&ix));
+                news.map_or(0.0, |n| n.load)
+            }
+            None => 0.0,
+        }
     }
 
     /// Running tasks of a job as far as this controller has heard, for display.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -52,6 +52,13 @@
     pub held_s: f64,
 }
 
+impl Rented {
+    /// Price of a CPU.
+    fn per_cpu(&self) -> f64 {
+        self.price / self.size.cpus.max(1e-6)
+    }
+}
+
 /// A request to make.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Order {
@@ -84,8 +91,13 @@
     worth(demand, rules.horizon_s)
 }
 
+/// CPUs that the tasks at hand can use at once.
+fn runnable(demand: &[Demand]) -> f64 {
+    demand.iter().map(|d| d.tasks * d.needs.room.cpus).sum()
+}
+
 fn worth(demand: &[Demand], horizon_s: f64) -> f64 {
-    let runnable: f64 = demand.iter().map(|d| d.tasks * d.needs.room.cpus).sum();
+    let runnable = runnable(demand);
     let work: f64 = demand.iter().map(|d| d.work).sum();
     runnable.min((work / horizon_s).max(runnable.min(4.0)))
 }
@@ -211,10 +223,9 @@
         .iter()
         .filter(|m| m.idle_s.is_some_and(|i| i >= rules.idle_s) && m.held_s >= rules.charge_s)
         .collect();
-    let per_cpu = |m: &Rented| m.price / m.size.cpus.max(1e-6);
     idle.sort_by(|a, b| {
-        per_cpu(b)
-            .total_cmp(&per_cpu(a))
+        b.per_cpu()
+            .total_cmp(&a.per_cpu())
             .then(a.machine.raw().cmp(&b.machine.raw()))
     });
     let mut out = Vec::new();
@@ -242,20 +253,18 @@
 /// Dear machines are closed earlier: as soon as the cheap ones can do what is left within a
 /// horizon.
 pub fn close(demand: &[Demand], fleet: &[(Rented, f64)], rules: &Rules) -> Vec<MachineIx> {
-    let runnable: f64 = demand.iter().map(|d| d.tasks * d.needs.room.cpus).sum();
     let mut order: Vec<&(Rented, f64)> = fleet.iter().collect();
     let part = |m: &(Rented, f64)| m.1 / m.0.size.cpus.max(1e-6);
     // Prices within a fifth count as equal: a warm and busy machine is worth more than that.
-    let dear = |m: &(Rented, f64)| m.0.price / m.0.size.cpus.max(1e-6) * (1.2 - 0.2 * part(m));
+    let dear = |m: &(Rented, f64)| m.0.per_cpu() * (1.2 - 0.2 * part(m));
     order.sort_by(|a, b| {
         dear(a)
             .total_cmp(&dear(b))
             .then(a.0.machine.raw().cmp(&b.0.machine.raw()))
     });
-    let want = runnable * 1.1 + 2.0;
+    let want = runnable(demand) * 1.1 + 2.0;
     let want_dear = worth(demand, rules.horizon_s);
-    let per_cpu = |m: &Rented| m.price / m.size.cpus.max(1e-6);
-    let cheapest = fleet.iter().map(|m| per_cpu(&m.0));
+    let cheapest = fleet.iter().map(|m| m.0.per_cpu());
     let cheapest = cheapest.fold(f64::INFINITY, f64::min);
     let mut have = 0.0;
     let mut kept: Vec<&Rented> = Vec::new();
@@ -265,7 +274,7 @@
             let suits = |m: &Rented| d.needs.suits(m.frame, m.zone, m.spot, &m.size);
             d.tasks > 0.0 && suits(m) && !kept.iter().any(|k| suits(k))
         });
-        let dear = per_cpu(m) > cheapest * DEAR;
+        let dear = m.per_cpu() > cheapest * DEAR;
         if have < (if dear { want_dear } else { want }) || only {
             have += m.size.cpus;
             kept.push(m);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -100,14 +100,9 @@
             ram: s.ram_gb,
         };
         let fits = self.frames.values().any(|f| {
-            let size = Room {
-                cpus: f.vcpus,
-                gpus: f.gpus,
-                ram: f.ram_gb,
-            };
             s.frames.as_ref().is_none_or(|l| l.contains(&f.label))
                 && s.yard.as_ref().is_none_or(|y| f.yards.contains(y))
-                && room.fits(&size)
+                && room.fits(&f.into())
         });
         (!fits).then(|| "a task fits no allowed machine type".into())
     }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -468,9 +468,9 @@
         self.view.machines.get(&ix).is_some_and(|m| !m.leaving)
             && !self.lead.gone.contains(&ix)
             && !self.lead.leave.contains(&ix)
-            && self.machine_info(ix, now).is_some_and(|i| {
-                i.age_ms.is_some_and(|a| a < fresh) && i.recall_s.is_none() && !i.sick
-            })
+            && self
+                .machine_info(ix, now)
+                .is_some_and(|i| i.age_ms.is_some_and(|a| a < fresh) && !i.recalled && !i.sick)
     }
 
     fn slots(&self, now: Ms) -> Vec<Slot> {
@@ -491,7 +491,7 @@
                 spot: m.spot,
                 size,
                 used: self.used(ix),
-                load: self.machine_info(ix, now).map_or(0.0, |i| i.load),
+                load: self.known_load(ix, now),
                 fetch_gb_per_s: frame.fetch_gb_per_s,
                 warm: warm
                     .map(|w| w.iter().copied().collect())
@@ -512,17 +512,14 @@
     }
 
     /// Seconds until the rest of a job must be begun to be done in time. Without a deadline of
-    /// its own, the time that the operators' objectives give its class counts.
+    /// its own, the time that the operators' objectives give its class counts. Second, the
+    /// seconds by which a small job counts as due earlier.
     fn slack_s(&self, job: &Job) -> (f64, f64) {
         let age = self.day_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
         let s = &self.settings.platform.settings;
         let objective = || {
             let of_class = s.objectives.iter().filter(|o| o.class == job.spec.route);
-            of_class
-                .filter_map(|o| o.within_s)
-                .fold(None, |least: Option<f64>, w| {
-                    Some(least.map_or(w, |l| l.min(w)))
-                })
+            of_class.filter_map(|o| o.within_s).min_by(f64::total_cmp)
         };
         let team = s.teams.iter().find(|t| t.name == job.spec.crew);
         let wide = team
@@ -531,11 +528,11 @@
             .max(1e-3);
         let left = f64::from(job.spec.legs.saturating_sub(job.done.len()));
         let run = self.run_s(job);
-        let rest = run + left * job.spec.vcpus * run / wide;
+        let work = left * job.spec.vcpus * run;
+        let rest = run + work / wide;
         // With more asked than can be done, serving the closest deadline first makes everything
         // a little late. What costs little is worth saving first: small jobs count as due
         // earlier, by up to a minute.
-        let work = left * job.spec.vcpus * run;
         let small = 60.0 * (-work / (wide * 10.0)).exp();
         match job.spec.due_s.or_else(objective) {
             Some(due) => (due - age - rest, small),
@@ -603,6 +600,12 @@
         let mut zones = self.zones_of();
         let mut teams = self.team_room();
         let guarantee: HashMap<_, _> = self.guaranteed_left();
+        let ranks: HashMap<JobIx, (u8, f64)> = self
+            .view
+            .jobs
+            .iter()
+            .map(|(&ix, job)| (ix, self.rank(job)))
+            .collect();
         let mut order: Vec<(u8, bool, f64, JobIx)> = Vec::new();
         for (&ix, job) in &self.view.jobs {
             let open = bound.get(&ix).map_or(0, RangeSet::len) + job.done.len();
@@ -615,7 +618,7 @@
             let beyond = guarantee
                 .get(&job.team)
                 .is_none_or(|g| job.spec.vcpus > g + 1e-6);
-            let (tier, slack) = self.rank(job);
+            let (tier, slack) = ranks[&ix];
             order.push((tier, beyond, slack, ix));
         }
         order.sort_by(|a, b| {
@@ -652,7 +655,7 @@
             most: 300,
         };
         let mut plan = queue::plan(&mut slots, &mut jobs, &mut teams, limits, &mut self.rng);
-        let mut evict = self.plan_evictions(&jobs, &teams);
+        let mut evict = self.plan_evictions(&jobs, &teams, &ranks);
         if plan.is_empty() && evict.is_empty() {
             return None;
         }
@@ -749,12 +752,10 @@
         &self,
         blocked: &[Candidate],
         teams: &HashMap<TeamIx, Room>,
+        ranks: &HashMap<JobIx, (u8, f64)>,
     ) -> HashMap<MachineIx, Vec<Entry>> {
         let mut out: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
         let mut left = self.settings.options.evict_cpus;
-        let evicted = |e: &Entry, out: &HashMap<MachineIx, Vec<Entry>>, m: MachineIx| {
-            out.get(&m).is_some_and(|v| v.contains(e))
-        };
         // What was marked before comes free soon and is not asked for again.
         let mut coming: HashMap<TeamIx, f64> = HashMap::new();
         let mut coming_all = 0.0;
@@ -770,7 +771,7 @@
             let Some(job) = self.view.jobs.get(&c.job) else {
                 continue;
             };
-            let (tier, slack) = self.rank(job);
+            let (tier, slack) = ranks[&c.job];
             if tier > 2 || slack > 60.0 || left <= 0.0 {
                 continue;
             }
@@ -805,7 +806,7 @@
                     let Some(v) = self.view.jobs.get(&e.task.job) else {
                         continue;
                     };
-                    let (v_tier, v_slack) = self.rank(v);
+                    let (v_tier, v_slack) = ranks[&e.task.job];
                     // Long tasks decide when everything is done: they run through.
                     let v_run = self.run_s(v);
                     let may = v.spec.urgency > job.spec.urgency
@@ -814,7 +815,7 @@
                         && (!by_team || v.team == c.team)
                         && (v_tier > 2 || v_slack > slack.max(0.0) + 30.0 + 0.5 * v_run)
                         && !m.evict.contains(e)
-                        && !evicted(e, &out, ix);
+                        && !out.get(&ix).is_some_and(|v| v.contains(e));
                     if may {
                         victims.push((v_slack, ix, *e, v.spec.vcpus));
                     }
@@ -865,12 +866,14 @@
         let kept = self.view.catalog.as_ref().is_some_and(|kept| {
             kept.len() == frames.len() && kept.iter().zip(&frames).all(|(a, b)| same(a, b))
         });
-        let record = put(CATALOG, &frames, None);
+        if kept {
+            return None;
+        }
         let fits =
             serde_json::to_string(&frames).is_ok_and(|s| s.len() <= self.settings.value_bytes());
-        (!kept && fits).then(|| Txn {
+        fits.then(|| Txn {
             guards: Vec::new(),
-            then: vec![record],
+            then: vec![put(CATALOG, &frames, None)],
         })
     }
 
@@ -949,46 +952,7 @@
                 self.lead.leave.insert(ix);
             }
         }
-        {
-            let offers = self.offers();
-            let fleet = self.with_coming(fleet);
-            let refused = &self.lead.refused;
-            let asked: HashSet<(FrameIx, ZoneIx, bool)> = self
-                .lead
-                .renting
-                .values()
-                .filter_map(|(r, _)| {
-                    let frame = self.view.names.frames.get(&r.frame)?;
-                    Some((frame, self.view.names.zones.get(&r.yard)?, r.loaners))
-                })
-                .collect();
-            let orders = fleet::rent(&demand, &fleet, &offers, &rules, |f, z, s| {
-                refused.get(&(f, z, s)).is_none_or(|&until| now >= until)
-                    && !asked.contains(&(f, z, s))
-            });
-            for o in orders.into_iter().take(6) {
-                self.lead.bookings += 1;
-                let rental = Rental {
-                    booking: format!("b-{}-{}", term.0, self.lead.bookings),
-                    frame: self.view.names.frames.name(o.frame).to_owned(),
-                    yard: self.view.names.zones.name(o.zone).to_owned(),
-                    loaners: o.spot,
-                    number: o.number.min(MOST_RENTED),
-                };
-                info!(
-                    booking = rental.booking,
-                    frame = rental.frame,
-                    zone = rental.yard,
-                    spot = o.spot,
-                    number = rental.number,
-                    "renting"
-                );
-                let at = now.plus(10_000);
-                let name = rental.booking.clone();
-                self.lead.renting.insert(name, (rental.clone(), at));
-                out.push(Action::Rent(rental));
-            }
-        }
+        self.rent_machines(&demand, fleet, &rules, term, now, out);
         if !self.lead.returning {
             let names: Vec<String> = self
                 .view
@@ -1009,6 +973,55 @@
         }
     }
 
+    /// Asks for what is missing, counting what is on its way.
+    fn rent_machines(
+        &mut self,
+        demand: &[Demand],
+        fleet: Vec<Rented>,
+        rules: &Rules,
+        term: Term,
+        now: Ms,
+        out: &mut Vec<Action>,
+    ) {
+        let offers = self.offers();
+        let fleet = self.with_coming(fleet);
+        let refused = &self.lead.refused;
+        let asked: HashSet<(FrameIx, ZoneIx, bool)> = self
+            .lead
+            .renting
+            .values()
+            .filter_map(|(r, _)| {
+                let frame = self.view.names.frames.get(&r.frame)?;
+                Some((frame, self.view.names.zones.get(&r.yard)?, r.loaners))
+            })
+            .collect();
+        let orders = fleet::rent(demand, &fleet, &offers, rules, |f, z, s| {
+            refused.get(&(f, z, s)).is_none_or(|&until| now >= until) && !asked.contains(&(f, z, s))
+        });
+        for o in orders.into_iter().take(6) {
+            self.lead.bookings += 1;
+            let rental = Rental {
+                booking: format!("b-{}-{}", term.0, self.lead.bookings),
+                frame: self.view.names.frames.name(o.frame).to_owned(),
+                yard: self.view.names.zones.name(o.zone).to_owned(),
+                loaners: o.spot,
+                number: o.number.min(MOST_RENTED),
+            };
+            info!(
+                booking = rental.booking,
+                frame = rental.frame,
+                zone = rental.yard,
+                spot = o.spot,
+                number = rental.number,
+                "renting"
+            );
+            let at = now.plus(10_000);
+            let name = rental.booking.clone();
+            self.lead.renting.insert(name, (rental.clone(), at));
+            out.push(Action::Rent(rental));
+        }
+    }
+
     /// Closes machines that are not needed, and empties one whose tasks can all save when the
     /// others have room for them.
     fn close_machines(&mut self, demand: &[Demand], fleet: &[Rented], rules: &Rules, now: Ms) {
@@ -1034,7 +1047,7 @@
                 let job = self.view.jobs.get(&e.task.job);
                 job.is_some_and(|j| j.spec.waypoint_s > 0.0)
             };
-            let load = self.machine_info(m.machine, now).map_or(0.0, |i| i.load);
+            let load = self.known_load(m.machine, now);
             let left_s = load * m.size.cpus / used.max(0.1);
             self.lead.closed.contains(&m.machine)
                 && *used > 0.0
@@ -1127,11 +1140,7 @@
                     frame,
                     zone,
                     spot,
-                    size: Room {
-                        cpus: f.vcpus,
-                        gpus: f.gpus,
-                        ram: f.ram_gb,
-                    },
+                    size: Room::from(f),
                     price: f.price,
                     idle_s: None,
                     held_s: 0.0,
@@ -1147,11 +1156,7 @@
             .iter()
             .map(|(&frame, f)| Offer {
                 frame,
-                size: Room {
-                    cpus: f.vcpus,
-                    gpus: f.gpus,
-                    ram: f.ram_gb,
-                },
+                size: Room::from(f),
                 zones: f
                     .yards
                     .iter()
@@ -1208,9 +1213,7 @@
                 continue;
             };
             let info = self.machine_info(ix, now);
-            let going = info
-                .as_ref()
-                .is_some_and(|i| i.recall_s.is_some() || i.sick);
+            let going = info.as_ref().is_some_and(|i| i.recalled || i.sick);
             if m.leaving || going || self.lead.leave.contains(&ix) || self.is_dead(ix, now) {
                 continue;
             }
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -1,6 +1,7 @@
 //! Binding: which unbound task joins which machine's queue. Pure.
 
 use crate::names::{FrameIx, ImageIx, JobIx, MachineIx, TeamIx, ZoneIx};
+use crate::wire::Frame;
 use rand::Rng;
 use rand::seq::index;
 use std::collections::{HashMap, HashSet};
@@ -38,13 +39,14 @@
         r.add(other, -1.0);
         r
     }
+}
 
-    /// `self` enlarged by a factor.
-    pub fn times(&self, by: f64) -> Room {
+impl From<&Frame> for Room {
+    fn from(f: &Frame) -> Room {
         Room {
-            cpus: self.cpus * by,
-            gpus: self.gpus * by,
-            ram: self.ram * by,
+            cpus: f.vcpus,
+            gpus: f.gpus,
+            ram: f.ram_gb,
         }
     }
 }
@@ -346,24 +348,35 @@
         }
     }
 
-    fn run(slots: &mut [Slot], job: Candidate, cpus: f64) -> Vec<usize> {
-        let mut teams = HashMap::from([(
-            TeamIx::from_raw(0),
-            Room {
-                cpus,
-                ..Room::default()
-            },
-        )]);
-        let limits = Limits {
-            ahead_s: 3.0,
-            sample: 16,
-            most: 100,
+    const LIMITS: Limits = Limits {
+        ahead_s: 3.0,
+        sample: 16,
+        most: 100,
+    };
+
+    /// Plans for one team that may use so many CPUs more.
+    fn plan_all(slots: &mut [Slot], jobs: &mut [Candidate], cpus: f64) -> Vec<Binding> {
+        let room = Room {
+            cpus,
+            ..Room::default()
         };
+        let mut teams = HashMap::from([(TeamIx::from_raw(0), room)]);
         let mut rng = SmallRng::seed_from_u64(1);
-        plan(slots, &mut [job], &mut teams, limits, &mut rng)
-            .iter()
-            .map(|b| b.machine.raw())
-            .collect()
+        plan(slots, jobs, &mut teams, LIMITS, &mut rng)
+    }
+
+    fn run(slots: &mut [Slot], job: Candidate, cpus: f64) -> Vec<usize> {
+        let plan = plan_all(slots, &mut [job], cpus);
+        plan.iter().map(|b| b.machine.raw()).collect()
+    }
+
+    /// A job of one task that needs two CPUs, and a later one of small tasks.
+    fn big_before_small() -> [Candidate; 2] {
+        let mut big = job(1, needs());
+        big.needs.room.cpus = 2.0;
+        let mut small = job(4, needs());
+        small.job = JobIx::from_raw(1);
+        [big, small]
     }
 
     #[test]
@@ -375,23 +388,7 @@
     #[test]
     fn room_under_a_limit_is_kept_for_the_job_that_waits_for_it() {
         let mut slots = [slot(0, 0, 8.0)];
-        let mut big = job(1, needs());
-        big.needs.room.cpus = 2.0;
-        let mut small = job(4, needs());
-        small.job = JobIx::from_raw(1);
-        let cpus = Room {
-            cpus: 1.0,
-            ..Room::default()
-        };
-        let mut teams = HashMap::from([(TeamIx::from_raw(0), cpus)]);
-        let limits = Limits {
-            ahead_s: 3.0,
-            sample: 16,
-            most: 100,
-        };
-        let mut rng = SmallRng::seed_from_u64(1);
-        let jobs = &mut [big, small];
-        assert!(plan(&mut slots, jobs, &mut teams, limits, &mut rng).is_empty());
+        assert!(plan_all(&mut slots, &mut big_before_small(), 1.0).is_empty());
     }
 
     #[test]
@@ -399,23 +396,7 @@
         let mut full = slot(0, 0, 4.0);
         full.used.cpus = 3.0;
         full.load = 20.0;
-        let mut big = job(1, needs());
-        big.needs.room.cpus = 2.0;
-        let mut small = job(4, needs());
-        small.job = JobIx::from_raw(1);
-        let limits = Limits {
-            ahead_s: 3.0,
-            sample: 16,
-            most: 100,
-        };
-        let cpus = Room {
-            cpus: 99.0,
-            ..Room::default()
-        };
-        let mut teams = HashMap::from([(TeamIx::from_raw(0), cpus)]);
-        let mut rng = SmallRng::seed_from_u64(1);
-        let jobs = &mut [big, small];
-        assert!(plan(&mut [full], jobs, &mut teams, limits, &mut rng).is_empty());
+        assert!(plan_all(&mut [full], &mut big_before_small(), 99.0).is_empty());
     }
 
     #[test]
