Split core and leader by duty; no change of behaviour

Lease, peers, transactions, reports and endings of a controller; grants, machines, binding, preemption, renting and rounds of balancing of the leader.

--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,635 @@
+//! The decisions of one controller: membership, leases and the duties of a block holder.
+//!
+//! No input or output happens here. The service feeds in what arrived and when, and carries out
+//! the [`Action`]s that come back; tests do the same with fakes.
+
+mod commits;
+mod endings;
+mod lease;
+mod peers;
+mod reports;
+
+use crate::clock::Ms;
+use crate::leader::LeadRt;
+use crate::names::{ClassIx, FrameIx, HostIx, JobIx, MachineIx, TeamIx, ZoneIx};
+use crate::queue::{Needs, Room};
+use crate::settings::Settings;
+use crate::view::{
+    BlockId, Boot, Entry, Job, Machine, Owner, TaskIx, Token, View, block_key, grant_key, job_key,
+    load_key, node_key,
+};
+use crate::wire::{
+    Cause, Change, Frame, Guard, JobStatus, LegStatus, MachineNews, NewsList, NodeRecord, Order,
+    Orders, OwnerRecord, PeerNews, Report, Stray, Txn,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use tracing::{debug, info, warn};
+
+/// Something for the service to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Ask the state service for a lease.
+    NewLease {
+        /// Its length.
+        life_ms: u64,
+    },
+    /// Renew the lease.
+    Renew {
+        /// The lease.
+        permit: u64,
+    },
+    /// Send a transaction.
+    Commit {
+        /// What it is for.
+        op: Op,
+        /// The transaction.
+        txn: Txn,
+    },
+    /// Send news to a peer.
+    Peer {
+        /// The peer.
+        host: HostIx,
+        /// The news.
+        news: Box<PeerNews>,
+    },
+    /// Read the catalog.
+    Catalog,
+    /// Read the list of machines.
+    List,
+    /// Rent machines.
+    Rent(crate::wire::Rental),
+    /// Return machines.
+    Return(Vec<String>),
+}
+
+/// What a transaction is for. At most one of each kind is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Op {
+    /// Enter the controller's own key.
+    Join,
+    /// Take the leadership.
+    Lead,
+    /// A write that only the leader may make.
+    Leader,
+    /// Endings and moves of the blocks held.
+    Holder,
+    /// Queue totals.
+    Load,
+}
+
+/// How a transaction went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Carried out at this revision.
+    Done(u64),
+    /// A condition failed; the service was at this revision.
+    Conflict(u64),
+    /// It named a lease that is over.
+    NoLease,
+    /// Not carried out.
+    Refused,
+    /// No answer: carried out, or not, or later.
+    Unknown,
+}
+
+/// Answer to a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Reply {
+    /// 200.
+    Orders(Orders),
+    /// 421, naming a controller if one is known to be better.
+    Elsewhere(Option<String>),
+    /// 503.
+    Unavailable,
+}
+
+/// Why a task leaves a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Completed.
+    Done,
+    /// Failed on the machine.
+    Failed,
+    /// Not started, or stopped, or its machine is gone: it may be bound again.
+    Free,
+}
+
+/// A move of unstarted tasks from one queue to another.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Move {
+    /// From.
+    pub victim: MachineIx,
+    /// To.
+    pub thief: MachineIx,
+    /// Tasks.
+    pub entries: Vec<Entry>,
+}
+
+/// A task as the last report shows it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LegRt {
+    pub attempt: u64,
+    pub status: LegStatus,
+    /// When it was first seen running.
+    pub running_since: Option<Ms>,
+}
+
+/// What a holder knows of a machine under one token.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Rt {
+    pub token: u64,
+    /// When the grant became known.
+    pub since: Ms,
+    pub newest: (u64, u64),
+    /// A report under this token came: no earlier holder is obeyed any more.
+    pub fenced: bool,
+    pub heard: Option<Ms>,
+    pub last_ok: Option<Ms>,
+    pub recall_at: Option<Ms>,
+    pub legs: HashMap<TaskIx, LegRt>,
+    /// Launched in the answer to the newest report.
+    pub launched: HashSet<TaskIx>,
+    /// Jobs that failed here one after the other.
+    pub failed: Vec<JobIx>,
+    pub sick: bool,
+    pub lost: bool,
+}
+
+#[derive(Debug, Clone)]
+struct InFlight {
+    txn: Txn,
+    /// An earlier copy may have been, or may yet be, carried out.
+    unsure: bool,
+    /// When to send it again; none while an answer is awaited.
+    again: Option<Ms>,
+    ends: Vec<(Entry, End)>,
+    moves: Vec<Move>,
+}
+
+/// What decides whether a machine can be used.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct MachineInfo {
+    /// Milliseconds since its last report to its present holder.
+    pub age_ms: Option<u64>,
+    /// Under notice of the cloud.
+    pub recalled: bool,
+    /// Fails what it starts.
+    pub sick: bool,
+}
+
+/// What is known of a peer.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PeerRt {
+    pub heard: Option<Ms>,
+    /// The life it spoke in.
+    pub boot: Option<Boot>,
+    pub state_ok: bool,
+    /// Ages of what it heard from others when it spoke last.
+    pub hears: HashMap<HostIx, u64>,
+    pub machines: HashMap<MachineIx, MachineNews>,
+    pub strays: Vec<Stray>,
+    pub fails: Vec<(JobIx, u32, Ms)>,
+}
+
+#[derive(Debug, Clone)]
+struct StrayRt {
+    first: Ms,
+    last: Ms,
+    /// The grant it came past; under another one the count begins anew.
+    token: u64,
+    frame: String,
+    yard: String,
+    loaners: bool,
+}
+
+/// Failures of a job one after the other, as seen by this holder.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Fails {
+    pub count: u32,
+    pub last: Ms,
+}
+
+/// Counters shown to operators.
+#[derive(Debug, Clone, Default, serde::Serialize)]
+pub struct Counters {
+    /// Reports answered with 200.
+    pub reports: u64,
+    /// Reports sent elsewhere.
+    pub redirects: u64,
+    /// Tasks launched.
+    pub launches: u64,
+    /// Tasks recorded done.
+    pub done: u64,
+    /// Tasks that failed.
+    pub failed: u64,
+    /// Tasks put back unbound.
+    pub freed: u64,
+    /// Tasks bound as leader.
+    pub bound: u64,
+    /// Tasks marked as leader to be stopped for more pressing ones.
+    pub evicted: u64,
+    /// Steals sent.
+    pub steals: u64,
+    /// Hops of steals passed on.
+    pub hops: u64,
+    /// Hints sent.
+    pub hints: u64,
+    /// Packs moved.
+    pub packs: u64,
+    /// Tasks moved in packs.
+    pub stolen_tasks: u64,
+    /// Transactions whose conditions failed.
+    pub conflicts: u64,
+    /// Transactions without an answer.
+    pub unanswered: u64,
+    /// Transactions refused for budget or outage.
+    pub refused: u64,
+    /// Machines given up as lost.
+    pub lost_machines: u64,
+}
+
+/// The state of one controller.
+pub struct Core {
+    /// Settings.
+    pub settings: Settings,
+    /// Replica of the shared keys.
+    pub view: View,
+    /// This controller.
+    pub me: HostIx,
+    /// The other controllers.
+    pub others: Vec<HostIx>,
+    /// Counters.
+    pub counters: Counters,
+    pub(crate) boot: Boot,
+    permit: Option<u64>,
+    pub(crate) joined: bool,
+    renewed: Option<Ms>,
+    confirmed: Option<Ms>,
+    next_renew: Ms,
+    lease_busy: bool,
+    state_bad_since: Option<Ms>,
+    pub(crate) rng: SmallRng,
+    pub(crate) rt: HashMap<MachineIx, Rt>,
+    /// Endings to be recorded, with the machine on which they were found out.
+    ends: BTreeMap<(u64, TaskIx), (MachineIx, End)>,
+    pub(crate) moves: Vec<Move>,
+    pub(crate) reserved: HashSet<Entry>,
+    /// Entries to be released once the replica is at the revision.
+    release: Vec<(u64, Vec<Entry>)>,
+    ops: HashMap<Op, InFlight>,
+    op_after: HashMap<Op, Ms>,
+    /// Nothing new is planned before the replica is at this revision.
+    wait_ledger: u64,
+    pub(crate) peers: HashMap<HostIx, PeerRt>,
+    strays: HashMap<String, StrayRt>,
+    pub(crate) fails: HashMap<JobIx, Fails>,
+    pub(crate) ratios: HashMap<ClassIx, f64>,
+    /// Catalog by index, once known.
+    pub(crate) frames: HashMap<FrameIx, Frame>,
+    next_catalog: Ms,
+    next_peers: Ms,
+    pub(crate) next_round: Ms,
+    pub(crate) lead: LeadRt,
+    pub(crate) day_ms: u64,
+    pub(crate) outbox: Vec<(HostIx, crate::wire::Agent)>,
+    pub(crate) started: Option<Ms>,
+}
+
+impl Core {
+    /// A controller that knows nothing yet. `seed` makes its random choices and its life's number.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let mut view = View::default();
+        let me = view.names.hosts.intern(&settings.platform.host_name);
+        let others = settings
+            .platform
+            .known
+            .iter()
+            .map(|k| view.names.hosts.intern(&k.host_name))
+            .filter(|&h| h != me)
+            .collect();
+        for team in &settings.platform.settings.teams {
+            view.names.teams.intern(&team.name);
+        }
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let boot = Boot(rng.random::<u64>() >> 12);
+        Self {
+            settings,
+            view,
+            me,
+            others,
+            counters: Counters::default(),
+            boot,
+            permit: None,
+            joined: false,
+            renewed: None,
+            confirmed: None,
+            next_renew: Ms(0),
+            lease_busy: false,
+            state_bad_since: None,
+            rng,
+            rt: HashMap::new(),
+            ends: BTreeMap::new(),
+            moves: Vec::new(),
+            reserved: HashSet::new(),
+            release: Vec::new(),
+            ops: HashMap::new(),
+            op_after: HashMap::new(),
+            wait_ledger: 0,
+            peers: HashMap::new(),
+            strays: HashMap::new(),
+            fails: HashMap::new(),
+            ratios: HashMap::new(),
+            frames: HashMap::new(),
+            next_catalog: Ms(0),
+            next_peers: Ms(0),
+            next_round: Ms(0),
+            lead: LeadRt::default(),
+            day_ms: 0,
+            outbox: Vec::new(),
+            started: None,
+        }
+    }
+
+    /// This controller's name.
+    pub fn my_name(&self) -> &str {
+        &self.settings.platform.host_name
+    }
+
+    /// Whether the machine types are known.
+    pub fn catalog_known(&self) -> bool {
+        !self.frames.is_empty()
+    }
+
+    /// Does all that is due.
+    pub fn tick(&mut self, now: Ms, day_ms: u64) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.day_ms = day_ms;
+        let started = *self.started.get_or_insert(now);
+        if now >= self.next_catalog {
+            let wait = if self.catalog_known() { 30_000 } else { 1000 };
+            self.next_catalog = now.plus(wait);
+            out.push(Action::Catalog);
+        }
+        self.tick_lease(now, &mut out);
+        for (&op, f) in &mut self.ops {
+            if f.again.is_some_and(|t| now >= t) {
+                f.again = None;
+                out.push(Action::Commit {
+                    op,
+                    txn: f.txn.clone(),
+                });
+            }
+        }
+        if self.view.synced {
+            self.tick_join(now, &mut out);
+            if self.has_authority(now) {
+                self.tick_leadership(now, started, &mut out);
+                self.find_lost(now);
+                self.tick_holder(now, &mut out);
+                self.tick_leader(now, &mut out);
+                self.tick_balance(now, &mut out);
+            }
+        }
+        if now >= self.next_peers || !self.outbox.is_empty() {
+            self.tick_peers(now, &mut out);
+        }
+        out
+    }
+
+    /// What one task of a job takes and where it may be.
+    pub fn needs(&self, job: &Job) -> Needs {
+        needs_of(job)
+    }
+
+    /// Size of a machine; none while its type is unknown.
+    pub(crate) fn size(&self, m: &Machine) -> Option<Room> {
+        self.frames.get(&m.frame).map(Room::from)
+    }
+
+    /// Expected seconds of a task, the owners' estimates corrected by what was observed.
+    pub(crate) fn run_s(&self, job: &Job) -> f64 {
+        let ratio = self.ratios.get(&job.class).copied().unwrap_or(1.0);
+        (job.spec.ride_s * ratio).max(0.5)
+    }
+
+    /// Seconds of work per CPU in a machine's queue, started tasks counted with what is left.
+    pub(crate) fn queue_load(&self, ix: MachineIx, now: Ms) -> f64 {
+        let Some(m) = self.view.machines.get(&ix) else {
+            return 0.0;
+        };
+        let Some(size) = self.size(m) else { return 0.0 };
+        let rt = self.rt.get(&ix);
+        let work: f64 = m
+            .queue
+            .iter()
+            .filter_map(|e| {
+                let job = self.view.jobs.get(&e.task.job)?;
+                let run = self.run_s(job);
+                let leg = rt.and_then(|rt| rt.legs.get(&e.task));
+                let left = match leg {
+                    Some(l) if l.status == LegStatus::Ended => 0.0,
+                    Some(l) => {
+                        let ran = l.running_since.map_or(0, |s| now.since(s));
+                        (run - ran as f64 / 1000.0).max(run * 0.1)
+                    }
+                    None => run,
+                };
+                Some(left * job.spec.vcpus)
+            })
+            .sum();
+        work / size.cpus.max(1e-6)
+    }
+
+    /// The cloud's catalog arrived.
+    pub fn on_catalog(&mut self, catalog: crate::wire::Catalog) {
+        for f in catalog.frames {
+            for y in &f.yards {
+                self.view.names.zones.intern(y);
+            }
+            let ix = self.view.names.frames.intern(&f.label);
+            self.frames.insert(ix, f);
+        }
+    }
+
+    /// Publishes this controller's queue totals, for the mean of the next round.
+    pub(crate) fn publish_loads(&mut self, now: Ms, out: &mut Vec<Action>) {
+        if !self.idle(Op::Load, now) {
+            return;
+        }
+        let totals: BTreeMap<String, f64> = self
+            .rt
+            .keys()
+            .map(|&m| {
+                let load = (self.queue_load(m, now) * 10.0).round() / 10.0;
+                (self.view.names.machines.name(m).to_owned(), load)
+            })
+            .collect();
+        let key = load_key(self.my_name());
+        let txn = Txn {
+            guards: Vec::new(),
+            then: vec![put(&key, &totals, self.permit)],
+        };
+        self.submit(Op::Load, txn, out);
+    }
+
+    /// What is known of a machine now, from its holder.
+    pub(crate) fn machine_info(&self, ix: MachineIx, now: Ms) -> Option<MachineInfo> {
+        let (_, grant) = self.view.holder(ix)?;
+        if grant.host == self.me {
+            let rt = self.rt.get(&ix)?;
+            return Some(MachineInfo {
+                age_ms: rt.heard.map(|h| now.since(h)),
+                recalled: rt.recall_at.is_some(),
+                sick: rt.sick,
+            });
+        }
+        let peer = self.peers.get(&grant.host)?;
+        let age = now.since(peer.heard?);
+        let news = peer.machines.get(&ix)?;
+        Some(MachineInfo {
+            age_ms: news.age_ms.map(|a| a + age),
+            recalled: news.recall_s.is_some(),
+            sick: news.sick,
+        })
+    }
+
+    /// Load of a machine's queue, as its holder sees it; 0 if that is unknown.
+    pub(crate) fn known_load(&self, ix: MachineIx, now: Ms) -> f64 {
+        match self.view.holder(ix) {
+            Some((_, g)) if g.host == self.me => self.queue_load(ix, now),
+            Some((_, g)) => {
+                let news = self.peers.get(&g.host).and_then(|p| p.machines.get(&ix));
+                news.map_or(0.0, |n| n.load)
+            }
+            None => 0.0,
+        }
+    }
+
+    /// Running tasks of a job as far as this controller has heard, for display.
+    pub fn running(&self, job: JobIx) -> u32 {
+        let mine = self.rt.values().flat_map(|rt| &rt.legs);
+        let mine = mine
+            .filter(|(t, l)| t.job == job && l.status == LegStatus::Running)
+            .count() as u32;
+        let name = self.view.names.jobs.name(job);
+        let theirs: u32 = self
+            .peers
+            .values()
+            .flat_map(|p| p.machines.values())
+            .flat_map(|m| &m.running)
+            .filter(|(j, _)| j == name)
+            .map(|(_, n)| n)
+            .sum();
+        mine + theirs
+    }
+
+    /// Room that a team may still use: its limit without everything bound.
+    pub(crate) fn team_room(&self) -> HashMap<TeamIx, Room> {
+        let mut room: HashMap<TeamIx, Room> = HashMap::new();
+        for t in &self.settings.platform.settings.teams {
+            if let Some(ix) = self.view.names.teams.get(&t.name) {
+                let limit = Room {
+                    cpus: t.cpus_max,
+                    gpus: t.gpus_max,
+                    ram: 0.0,
+                };
+                room.insert(ix, limit);
+            }
+        }
+        for m in self.view.machines.values() {
+            for e in &m.queue {
+                if let Some(job) = self.view.jobs.get(&e.task.job)
+                    && let Some(r) = room.get_mut(&job.team)
+                {
+                    r.add(&needs_of(job).room, -1.0);
+                }
+            }
+        }
+        room
+    }
+
+    /// Bound tasks by job and zone.
+    pub(crate) fn zones_of(&self) -> HashMap<JobIx, HashMap<ZoneIx, u32>> {
+        let mut zones: HashMap<JobIx, HashMap<ZoneIx, u32>> = HashMap::new();
+        for m in self.view.machines.values() {
+            for e in &m.queue {
+                *zones
+                    .entry(e.task.job)
+                    .or_default()
+                    .entry(m.zone)
+                    .or_default() += 1;
+            }
+        }
+        zones
+    }
+
+    /// A page for operators.
+    pub fn status_page(&self, now: Ms) -> serde_json::Value {
+        let names = &self.view.names;
+        let machines: BTreeMap<&str, serde_json::Value> = self
+            .rt
+            .iter()
+            .map(|(&m, rt)| {
+                let queue = self.view.machines.get(&m).map_or(0, |m| m.queue.len());
+                let v = serde_json::json!({
+                    "token": rt.token, "fenced": rt.fenced, "lost": rt.lost, "sick": rt.sick,
+                    "silentMs": rt.heard.map(|h| now.since(h)), "tasks": rt.legs.len(),
+                    "queue": queue, "load": self.queue_load(m, now),
+                });
+                (names.machines.name(m), v)
+            })
+            .collect();
+        serde_json::json!({
+            "host": self.my_name(), "boot": self.boot.0, "ready": self.ready(now),
+            "authority": self.has_authority(now), "leads": self.leads().map(|l| l.stamp),
+            "leader": self.view.lead.map(|l| names.hosts.name(l.host)),
+            "ledger": self.view.ledger, "jobs": self.view.jobs.len(),
+            "machines": machines, "counters": self.counters,
+        })
+    }
+}
+
+fn leg_rt(leg: &crate::wire::Leg, running_since: Option<Ms>) -> LegRt {
+    LegRt {
+        attempt: leg.attempt,
+        status: leg.status,
+        running_since,
+    }
+}
+
+/// What one task of a job takes and where it may be.
+pub(crate) fn needs_of(job: &Job) -> Needs {
+    let s = &job.spec;
+    Needs {
+        room: Room {
+            cpus: s.vcpus,
+            gpus: s.gpus,
+            ram: s.ram_gb,
+        },
+        frames: job.frames.clone(),
+        zone: job.zone,
+        spot: s.loaners,
+        same_place: s.same_place,
+        zone_most: s.spread.then(|| s.legs.div_ceil(2)),
+    }
+}
+
+/// A change that writes `value`.
+pub(crate) fn put(key: &str, value: &impl serde::Serialize, permit: Option<u64>) -> Change {
+    Change::Put {
+        put: key.to_owned(),
+        // The records are plain structs with string keys; they always become JSON.
+        v: serde_json::to_value(value).unwrap_or_default(),
+        permit,
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    /// The types that stories rent.
+    pub(crate) fn catalog() -> crate::wire::Catalog {
+        serde_json::from_str(include_str!("../../tests/support/catalog.json")).expect("good")
+    }
+}
--- /dev/null
+++ b/src/core/reports.rs
@@ -0,0 +1,323 @@
+//! Workers' reports and the commands that answer them.
+
+use super::*;
+
+impl Core {
+    pub(crate) fn stray(&mut self, r: &Report, token: u64, now: Ms) {
+        let fresh = StrayRt {
+            first: now,
+            last: now,
+            token,
+            frame: r.frame.clone(),
+            yard: r.yard.clone(),
+            loaners: r.loaners,
+        };
+        if self.strays.len() > 2000 {
+            return;
+        }
+        let s = self.strays.entry(r.rig.clone()).or_insert(fresh);
+        if now.since(s.last) > 7000 || s.token != token {
+            s.first = now;
+            s.token = token;
+        }
+        s.last = now;
+    }
+
+    /// A worker reports.
+    pub fn on_report(&mut self, r: Report, now: Ms) -> Reply {
+        let known = self.view.names.machines.get(&r.rig);
+        let Some((ix, (_, grant))) = known.and_then(|m| Some((m, self.view.holder(m)?))) else {
+            self.stray(&r, 0, now);
+            let leader = self
+                .view
+                .lead
+                .filter(|l| l.host != self.me && self.hears(l.host, now));
+            self.counters.redirects += 1;
+            return match leader {
+                Some(l) => Reply::Elsewhere(Some(self.view.names.hosts.name(l.host).to_owned())),
+                None => Reply::Unavailable,
+            };
+        };
+        if grant.host != self.me || grant.boot != self.boot {
+            self.counters.redirects += 1;
+            self.stray(&r, grant.stamp, now);
+            // A holder that is silent to us is not named: the worker would wait for it in vain.
+            let name = (grant.host != self.me && self.hears(grant.host, now))
+                .then(|| self.view.names.hosts.name(grant.host).to_owned());
+            return Reply::Elsewhere(name);
+        }
+        if !self.has_authority(now) || r.baton > grant.stamp {
+            // Without authority, or with a later holder about, an answer would only hold the
+            // worker here while its lease runs.
+            self.counters.redirects += 1;
+            return Reply::Elsewhere(None);
+        }
+        let mut rt = self.rt.remove(&ix).unwrap_or_default();
+        let newer = (r.shift, r.tally) > rt.newest;
+        let reply = if newer && !rt.lost {
+            self.strays.remove(&r.rig);
+            let orders = self.answer(ix, &mut rt, &r, Token(grant.stamp), now);
+            rt.last_ok = Some(now);
+            self.counters.reports += 1;
+            Reply::Orders(Orders {
+                baton: grant.stamp,
+                orders,
+            })
+        } else if rt.lost && newer {
+            self.revive(ix, &mut rt, &r, grant.stamp, now)
+        } else {
+            // A report that was held back on its way: its worker no longer waits for it.
+            Reply::Unavailable
+        };
+        self.rt.insert(ix, rt);
+        reply
+    }
+
+    /// A machine that was given up comes back. Its tasks may be bound elsewhere by now, so it
+    /// is answered again only once its queue is empty and it shows a session without tasks.
+    pub(crate) fn revive(
+        &mut self,
+        ix: MachineIx,
+        rt: &mut Rt,
+        r: &Report,
+        token: u64,
+        now: Ms,
+    ) -> Reply {
+        let listed = self
+            .view
+            .machines
+            .get(&ix)
+            .is_some_and(|m| !m.queue.is_empty());
+        if listed || r.legs.iter().any(|l| l.status != LegStatus::Ended) {
+            return Reply::Unavailable;
+        }
+        info!(rig = r.rig, "a machine that was given up is back");
+        *rt = Rt {
+            token,
+            since: now,
+            newest: (r.shift, r.tally),
+            heard: Some(now),
+            last_ok: Some(now),
+            ..Rt::default()
+        };
+        Reply::Orders(Orders {
+            baton: token,
+            orders: Vec::new(),
+        })
+    }
+
+    pub(crate) fn answer(
+        &mut self,
+        ix: MachineIx,
+        rt: &mut Rt,
+        r: &Report,
+        token: Token,
+        now: Ms,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let Some(machine) = self.view.machines.get(&ix) else {
+            return orders;
+        };
+        if rt.heard.is_none() {
+            info!(
+                rig = r.rig,
+                token = token.0,
+                shift = r.shift,
+                "machine reports to us"
+            );
+        }
+        if r.shift > rt.newest.0 && rt.newest.0 > 0 {
+            warn!(rig = r.rig, shift = r.shift, "machine began a new session");
+        }
+        rt.newest = (r.shift, r.tally);
+        rt.heard = Some(now);
+        rt.fenced |= r.baton == token.0;
+        rt.recall_at = r
+            .recall_s
+            .filter(|s| s.is_finite())
+            .map(|s| now.plus((s.max(0.0) * 1000.0) as u64));
+        rt.launched.clear();
+        let before = std::mem::take(&mut rt.legs);
+        let queue: HashMap<TaskIx, u64> =
+            machine.queue.iter().map(|e| (e.task, e.attempt)).collect();
+        // The type may be unknown still, after a restart while the cloud is away. Everything the
+        // report shows is taken in all the same: what seemed absent could be stolen and run twice.
+        let size = self.size(machine);
+        let leaving = machine.leaving || rt.sick || rt.recall_at.is_some();
+        let mut used = Room::default();
+        let mut new_ends: Vec<(Entry, End)> = Vec::new();
+        let mut ratios: Vec<(ClassIx, f64)> = Vec::new();
+        for leg in &r.legs {
+            let ended = leg.status == LegStatus::Ended;
+            let task = self.view.names.task(&leg.leg);
+            let job = task.and_then(|t| self.view.jobs.get(&t.job));
+            if let (Some(job), false) = (job, ended) {
+                used.add(&needs_of(job).room, 1.0);
+            }
+            let listed = task.filter(|t| queue.get(t) == Some(&leg.attempt));
+            let Some(task) = listed else {
+                // Not in the queue: its ending is durable already, or another attempt took its
+                // place. Either way nothing here depends on it any more.
+                orders.push(if ended {
+                    Order::Clear {
+                        leg: leg.leg.clone(),
+                        attempt: leg.attempt,
+                    }
+                } else {
+                    Order::Stop {
+                        leg: leg.leg.clone(),
+                        attempt: leg.attempt,
+                        leeway_s: 0.0,
+                    }
+                });
+                if let Some(task) = task {
+                    rt.legs.insert(task, leg_rt(leg, None));
+                }
+                continue;
+            };
+            let entry = Entry {
+                task,
+                attempt: leg.attempt,
+            };
+            let was = before.get(&task).filter(|b| b.attempt == leg.attempt);
+            let since = was
+                .and_then(|b| b.running_since)
+                .or((leg.status == LegStatus::Running).then_some(now));
+            rt.legs.insert(task, leg_rt(leg, since));
+            if was.is_none_or(|b| b.status != leg.status) {
+                debug!(leg = leg.leg, rig = r.rig, status = ?leg.status, cause = ?leg.cause, "reported");
+            }
+            if ended {
+                let end = match leg.cause {
+                    Some(Cause::Done) => End::Done,
+                    Some(Cause::Error) => End::Failed,
+                    _ => End::Free,
+                };
+                if !self.ended(&entry) {
+                    if let (Some(job), End::Done, Some(since), Some(was)) = (job, end, since, was)
+                        && was.status == LegStatus::Running
+                        && job.spec.ride_s > 0.0
+                    {
+                        let ran = now.since(since) as f64 / 1000.0;
+                        ratios.push((job.class, ran / job.spec.ride_s));
+                    }
+                    new_ends.push((entry, end));
+                }
+                continue;
+            }
+            let Some(job) = job else { continue };
+            let stop = if job.status != JobStatus::Pending {
+                Some(0.0)
+            } else if let Some(recall) = rt.recall_at {
+                let left = recall.since(now) as f64 / 1000.0;
+                let saves = job.spec.waypoint_s > 0.0;
+                let ran = since.map_or(0, |s| now.since(s)) as f64 / 1000.0;
+                let rest = (self.run_s(job) - ran).max(1.0);
+                if leg.status == LegStatus::Flushing || rest < left * 0.5 {
+                    None
+                } else if saves {
+                    Some(job.spec.stow_s.max(left))
+                } else {
+                    // It cannot be done in time: better begun again elsewhere at once.
+                    (rest > left * 1.5).then_some(0.0)
+                }
+            } else if machine.evict.contains(&entry) {
+                (leg.status != LegStatus::Flushing).then_some(job.spec.stow_s + 5.0)
+            } else if machine.leaving || rt.sick {
+                (leg.status != LegStatus::Flushing && job.spec.waypoint_s > 0.0)
+                    .then_some(job.spec.stow_s + 5.0)
+            } else {
+                None
+            };
+            if let Some(leeway_s) = stop {
+                orders.push(Order::Stop {
+                    leg: leg.leg.clone(),
+                    attempt: leg.attempt,
+                    leeway_s,
+                });
+            }
+        }
+        // Launch the head of the queue while the report shows room for it.
+        let mut heads: Vec<&Entry> = machine.queue.iter().collect();
+        heads.sort_by_key(|e| {
+            let job = self.view.jobs.get(&e.task.job);
+            job.map(|j| j.spec.urgency)
+        });
+        let mut full = leaving;
+        for e in heads {
+            let on_it = rt.legs.contains_key(&e.task);
+            let pending = self
+                .view
+                .jobs
+                .get(&e.task.job)
+                .filter(|j| j.status == JobStatus::Pending);
+            let Some(job) = pending else {
+                if !on_it && rt.fenced {
+                    new_ends.push((*e, End::Free));
+                }
+                continue;
+            };
+            if on_it || self.reserved.contains(e) || self.ended(e) {
+                continue;
+            }
+            if leaving || machine.evict.contains(e) {
+                if rt.fenced {
+                    new_ends.push((*e, End::Free));
+                }
+                continue;
+            }
+            let need = needs_of(job).room;
+            if full || !size.is_some_and(|size| need.fits(&size.minus(&used))) {
+                full = true;
+                continue;
+            }
+            used.add(&need, 1.0);
+            rt.launched.insert(e.task);
+            self.counters.launches += 1;
+            debug!(leg = self.view.names.leg(e.task), rig = r.rig, "launching");
+            orders.push(Order::Launch {
+                leg: self.view.names.leg(e.task),
+                attempt: e.attempt,
+            });
+        }
+        for (class, ratio) in ratios {
+            let r = self.ratios.entry(class).or_insert(ratio.clamp(0.2, 5.0));
+            *r += (ratio.clamp(0.2, 5.0) - *r) * 0.05;
+        }
+        for (entry, end) in new_ends {
+            self.note_end(ix, entry, end, rt, now);
+        }
+        orders
+    }
+
+    pub(crate) fn note_end(&mut self, ix: MachineIx, entry: Entry, end: End, rt: &mut Rt, now: Ms) {
+        self.ends.insert((entry.attempt, entry.task), (ix, end));
+        let job = entry.task.job;
+        match end {
+            End::Done => {
+                rt.failed.clear();
+                self.fails.remove(&job);
+            }
+            End::Failed => {
+                let f = self.fails.entry(job).or_insert(Fails {
+                    count: 0,
+                    last: now,
+                });
+                f.count += 1;
+                f.last = now;
+                rt.failed.push(job);
+                // A machine is to blame when different jobs fail on it, or one that succeeds
+                // elsewhere; a job that has never succeeded may be broken itself.
+                let mut jobs = rt.failed.clone();
+                jobs.sort();
+                jobs.dedup();
+                let proven = self.view.jobs.get(&job).is_some_and(|j| !j.done.is_empty());
+                if rt.failed.len() >= 2 && (jobs.len() >= 2 || proven) && !rt.sick {
+                    rt.sick = true;
+                    warn!(failures = rt.failed.len(), "a machine fails what it starts");
+                }
+            }
+            End::Free => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/leader/mod.rs
@@ -0,0 +1,160 @@
+//! The leader's duties: grants, machines in and out, bindings, renting; and the rounds of
+//! PackStealLB, which every holder runs for its own machines.
+
+mod binding;
+mod grants;
+mod machines;
+mod preemption;
+mod renting;
+mod rounds;
+
+use crate::balance::{self, Factors, Levels, Pack, Role};
+use crate::clock::Ms;
+use crate::core::{Action, Core, Move, Op, needs_of, put};
+use crate::fleet::{self, Demand, Offer, Rented, Rules};
+use crate::names::{FrameIx, HostIx, ImageIx, Index, JobIx, MachineIx, TeamIx, ZoneIx};
+use crate::queue::{self, Candidate, Limits, Room, Slot};
+use crate::ranges::RangeSet;
+use crate::view::{
+    BlockId, CATALOG, Entry, Job, LEAD, TaskIx, Term, block_key, grant_key, job_key, past_key,
+};
+use crate::wire::{
+    Agent, BlockRecord, Change, Frame, JobStatus, ListedRig, MachineRecord, OwnerRecord, Rental,
+    Txn, Urgency,
+};
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use tracing::{debug, info, warn};
+
+/// Shortest time that the cloud charges a machine for (PROTOCOL, catalog).
+const LEAST_CHARGE_S: f64 = 60.0;
+/// Most machines in one rental request (PROTOCOL).
+const MOST_RENTED: u32 = 50;
+
+#[derive(Debug, Clone)]
+struct Listed {
+    rented_at: Ms,
+    failed: bool,
+}
+
+/// What a leader remembers of one term; all of it can be found out anew.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct LeadRt {
+    term: Option<Term>,
+    since: Ms,
+    /// Since when the present leader seems to be gone.
+    lead_lost: Option<Ms>,
+    warm: HashMap<MachineIx, Vec<ImageIx>>,
+    listed: HashMap<MachineIx, Listed>,
+    /// When a machine was last heard by any holder, as far as this leader knows.
+    heard: HashMap<MachineIx, Ms>,
+    /// Since when a block's grant is known, by its token.
+    granted: HashMap<BlockId, (u64, Ms)>,
+    /// Lists in a row that did not show a machine of ours.
+    absent: HashMap<MachineIx, u32>,
+    /// Machines to be put into blocks.
+    place: BTreeMap<String, MachineRecord>,
+    refused: HashMap<(FrameIx, ZoneIx, bool), Ms>,
+    renting: HashMap<String, (Rental, Ms)>,
+    returning: bool,
+    /// Machines whose return was answered.
+    gone: BTreeSet<MachineIx>,
+    removed: HashMap<String, Ms>,
+    next_list: Ms,
+    list_busy: bool,
+    idle_since: HashMap<MachineIx, Ms>,
+    first_seen: HashMap<MachineIx, Ms>,
+    bookings: u64,
+    next_fleet: Ms,
+    next_archive: Ms,
+    next_even: Ms,
+    next_bind: Ms,
+    bind_version: u64,
+    leave: BTreeSet<MachineIx>,
+    /// Machines that take no new tasks, for the others suffice.
+    closed: HashSet<MachineIx>,
+    next_consolidation: Ms,
+    round: Option<Round>,
+    /// Controllers that do not reach their workers get nothing new until then.
+    avoid: HashMap<HostIx, Ms>,
+    /// Since when a controller speaks in another life than its grants name.
+    reborn_since: HashMap<HostIx, Ms>,
+}
+
+/// A round of balancing.
+#[derive(Debug, Clone)]
+struct Round {
+    levels: Levels,
+    loads: HashMap<MachineIx, f64>,
+    packs: HashMap<MachineIx, Vec<Pack<Entry>>>,
+    steals: HashMap<MachineIx, u32>,
+}
+
+impl LeadRt {
+    /// For how long the leader has been `gone` without a break, ms.
+    pub(crate) fn lead_lost_for(&mut self, gone: bool, now: Ms) -> Option<u64> {
+        if !gone {
+            self.lead_lost = None;
+            return None;
+        }
+        Some(now.since(*self.lead_lost.get_or_insert(now)))
+    }
+}
+
+impl Core {
+    /// Does what the leader has to do, one transaction at a time.
+    pub(crate) fn tick_leader(&mut self, now: Ms, out: &mut Vec<Action>) {
+        let Some(term) = self.leads().map(|l| Term(l.stamp)) else {
+            if self.lead.term.is_some() {
+                info!("no longer leading");
+                let round = self.lead.round.take();
+                self.lead = LeadRt {
+                    round,
+                    ..LeadRt::default()
+                };
+            }
+            return;
+        };
+        if self.lead.term != Some(term) {
+            info!(term = term.0, "leading");
+            let round = self.lead.round.take();
+            self.lead = LeadRt {
+                term: Some(term),
+                since: now,
+                round,
+                ..LeadRt::default()
+            };
+        }
+        self.note_machines(now);
+        self.tick_cloud(now, term, out);
+        if !self.idle(Op::Leader, now) {
+            return;
+        }
+        let txn = self
+            .plan_grants(now)
+            .or_else(|| self.plan_machines(now))
+            .or_else(|| self.plan_bindings(now))
+            .or_else(|| self.plan_archive(now))
+            .or_else(|| self.plan_catalog());
+        if let Some(mut txn) = txn {
+            txn.guards.push(self.guard(LEAD));
+            self.submit(Op::Leader, txn, out);
+        }
+    }
+
+    /// Number of tasks on a machine as its last report to this controller shows.
+    pub fn tasks_seen(&self, ix: MachineIx) -> usize {
+        self.rt.get(&ix).map_or(0, |rt| rt.legs.len())
+    }
+}
+
+fn new_machine(frame: &str, zone: &str, spot: bool) -> MachineRecord {
+    MachineRecord {
+        f: frame.to_owned(),
+        y: zone.to_owned(),
+        l: spot,
+        x: false,
+        q: Vec::new(),
+        p: Vec::new(),
+    }
+}
--- /dev/null
+++ b/src/leader/rounds.rs
@@ -0,0 +1,312 @@
+//! Rounds of PackStealLB, which every holder runs for its own machines.
+
+use super::*;
+
+impl Core {
+    pub(crate) fn factors(&self) -> Factors {
+        let o = &self.settings.options;
+        Factors {
+            tolerance: o.balance_tolerance,
+            pack: o.balance_pack,
+            targets: o.balance_targets as usize,
+            hops: o.balance_hops,
+        }
+    }
+
+    /// Begins a round when it is time: publishes totals, takes the mean, packs up and steals.
+    pub(crate) fn tick_balance(&mut self, now: Ms, out: &mut Vec<Action>) {
+        if now < self.next_round || !self.catalog_known() {
+            return;
+        }
+        let period = (self.settings.options.balance_period_s * 1000.0) as u64;
+        self.next_round = now.plus(period);
+        self.publish_loads(now, out);
+        let mut loads: HashMap<MachineIx, f64> = HashMap::new();
+        for (host, totals) in &self.view.loads {
+            for (&m, &l) in totals {
+                let held = self.view.holder(m).is_some_and(|(_, g)| g.host == *host);
+                if *host != self.me && held && self.available(m, now) {
+                    loads.insert(m, l);
+                }
+            }
+        }
+        let mine: Vec<MachineIx> = self.rt.keys().copied().collect();
+        for &m in &mine {
+            if self.available(m, now) {
+                loads.insert(m, self.queue_load(m, now));
+            }
+        }
+        let Some(levels) = Levels::new(&loads, &self.factors()) else {
+            return;
+        };
+        let mut round = Round {
+            levels,
+            packs: HashMap::new(),
+            steals: HashMap::new(),
+            loads,
+        };
+        let mut send: Vec<Agent> = Vec::new();
+        for &m in &mine {
+            let Some(&load) = round.loads.get(&m) else {
+                continue;
+            };
+            match levels.role(load) {
+                Role::Victim => {
+                    let packs = levels.packs(load, &self.movable(m));
+                    if packs.is_empty() {
+                        continue;
+                    }
+                    round.packs.insert(m, packs);
+                    if let Some(to) = balance::lightest(&round.loads, m) {
+                        send.push(Agent::Hint {
+                            to: self.view.names.machines.name(to).to_owned(),
+                            from: self.view.names.machines.name(m).to_owned(),
+                            load,
+                        });
+                    }
+                }
+                Role::Thief { steals } => {
+                    round.steals.insert(m, steals);
+                }
+                Role::Balanced => {}
+            }
+        }
+        let thieves: Vec<(MachineIx, u32)> = round.steals.iter().map(|(&m, &n)| (m, n)).collect();
+        self.lead.round = Some(round);
+        for (thief, steals) in thieves {
+            for _ in 0..steals.min(16) {
+                match self.steal(thief, 0, &[]) {
+                    Some(a) => send.push(a),
+                    None => break,
+                }
+            }
+        }
+        self.deliver(send, now);
+    }
+
+    /// The next hop of a steal: known non-victims are skipped until the cutoff.
+    pub(crate) fn steal(
+        &mut self,
+        thief: MachineIx,
+        hops: u32,
+        route: &[MachineIx],
+    ) -> Option<Agent> {
+        let factors = self.factors();
+        let round = self.lead.round.as_ref()?;
+        let far = f64::from(hops) > round.loads.len() as f64 * factors.hops;
+        let victims: HashMap<MachineIx, f64> = round
+            .loads
+            .iter()
+            .filter(|(_, l)| far || round.levels.role(**l) == Role::Victim)
+            .map(|(&m, &l)| (m, l))
+            .collect();
+        let to = balance::target(&victims, thief, hops, route, &factors, &mut self.rng)?;
+        let name = |m| self.view.names.machines.name(m).to_owned();
+        Some(Agent::Steal {
+            to: name(to),
+            thief: name(thief),
+            hops,
+            route: route.iter().map(|&m| name(m)).collect(),
+        })
+    }
+
+    /// Tasks that may move, with their loads, the last of the queue first.
+    pub(crate) fn movable(&self, ix: MachineIx) -> Vec<(Entry, f64)> {
+        let (Some(m), Some(rt)) = (self.view.machines.get(&ix), self.rt.get(&ix)) else {
+            return Vec::new();
+        };
+        // Only a machine that obeys our token is sure not to start what leaves its queue.
+        let Some(size) = self.size(m).filter(|_| rt.fenced && !rt.lost) else {
+            return Vec::new();
+        };
+        m.queue
+            .iter()
+            .rev()
+            .filter(|e| self.may_move(ix, e))
+            .filter_map(|e| {
+                let job = self.view.jobs.get(&e.task.job)?;
+                let load = self.run_s(job) * job.spec.vcpus / size.cpus.max(1e-6);
+                Some((*e, load))
+            })
+            .collect()
+    }
+
+    pub(crate) fn may_move(&self, ix: MachineIx, e: &Entry) -> bool {
+        self.unstarted(ix, e)
+            && !self.reserved.contains(e)
+            && !self.ended(e)
+            && self
+                .view
+                .jobs
+                .get(&e.task.job)
+                .is_some_and(|j| j.status == JobStatus::Pending)
+            && self
+                .view
+                .machines
+                .get(&ix)
+                .is_some_and(|m| m.queue.contains(e))
+    }
+
+    /// Carries agents' messages: within this controller at once, to others with the next news.
+    pub(crate) fn deliver(&mut self, send: Vec<Agent>, now: Ms) {
+        let mut queue: VecDeque<Agent> = send.into();
+        for _ in 0..2000 {
+            let Some(agent) = queue.pop_front() else {
+                break;
+            };
+            let to = match &agent {
+                Agent::Hint { to, .. } => {
+                    self.counters.hints += 1;
+                    to
+                }
+                Agent::Steal { to, hops, .. } => {
+                    self.counters.steals += u64::from(*hops == 0);
+                    self.counters.hops += u64::from(*hops > 0);
+                    to
+                }
+            };
+            let Some(ix) = self.view.names.machines.get(to) else {
+                continue;
+            };
+            let Some((_, holder)) = self.view.holder(ix) else {
+                continue;
+            };
+            if holder.host != self.me {
+                if self.outbox.len() < 500 {
+                    self.outbox.push((holder.host, agent));
+                }
+                continue;
+            }
+            queue.extend(self.receive(ix, agent, now));
+        }
+    }
+
+    /// A message from an agent of another controller.
+    pub(crate) fn on_agent(&mut self, agent: Agent, now: Ms) {
+        let to = match &agent {
+            Agent::Hint { to, .. } | Agent::Steal { to, .. } => to,
+        };
+        let Some(ix) = self.view.names.machines.get(to) else {
+            return;
+        };
+        if !self.rt.contains_key(&ix) || !self.has_authority(now) {
+            return;
+        }
+        let replies = self.receive(ix, agent, now);
+        self.deliver(replies, now);
+    }
+
+    pub(crate) fn receive(&mut self, ix: MachineIx, agent: Agent, now: Ms) -> Vec<Agent> {
+        match agent {
+            Agent::Hint { from, load, .. } => {
+                let Some(from) = self.view.names.machines.get(&from) else {
+                    return Vec::new();
+                };
+                let Some(round) = self.lead.round.as_mut() else {
+                    return Vec::new();
+                };
+                round.loads.insert(from, load);
+                // A thief that is told of a victim asks it at once, within its steals.
+                let left = round.steals.get_mut(&ix).filter(|n| **n > 0);
+                let Some(left) = left else { return Vec::new() };
+                *left -= 1;
+                let name = |m| self.view.names.machines.name(m).to_owned();
+                vec![Agent::Steal {
+                    to: name(from),
+                    thief: name(ix),
+                    hops: 0,
+                    route: Vec::new(),
+                }]
+            }
+            Agent::Steal {
+                thief, hops, route, ..
+            } => {
+                let Some(thief) = self.view.names.machines.get(&thief) else {
+                    return Vec::new();
+                };
+                if self.give_pack(ix, thief, now) {
+                    return Vec::new();
+                }
+                let mut known: Vec<MachineIx> = route
+                    .iter()
+                    .filter_map(|m| self.view.names.machines.get(m))
+                    .collect();
+                known.push(ix);
+                self.steal(thief, hops + 1, &known).into_iter().collect()
+            }
+        }
+    }
+
+    /// Gives the smallest pack that fits the thief.
+    pub(crate) fn give_pack(&mut self, victim: MachineIx, thief: MachineIx, now: Ms) -> bool {
+        let Some(packs) = self
+            .lead
+            .round
+            .as_mut()
+            .and_then(|r| r.packs.remove(&victim))
+        else {
+            return false;
+        };
+        let mut rest = Vec::new();
+        let mut given = None;
+        for pack in packs {
+            if given.is_none()
+                && pack.tasks.iter().all(|e| self.may_move(victim, e))
+                && self.pack_fits(victim, thief, &pack, now)
+            {
+                given = Some(pack);
+            } else {
+                rest.push(pack);
+            }
+        }
+        if let Some(round) = self.lead.round.as_mut() {
+            round.packs.insert(victim, rest);
+        }
+        let Some(pack) = given else { return false };
+        // From here on the tasks are not started, until the move is settled.
+        self.reserved.extend(&pack.tasks);
+        self.moves.push(Move {
+            victim,
+            thief,
+            entries: pack.tasks,
+        });
+        true
+    }
+
+    pub(crate) fn pack_fits(
+        &self,
+        victim: MachineIx,
+        thief: MachineIx,
+        pack: &Pack<Entry>,
+        now: Ms,
+    ) -> bool {
+        if victim == thief || !self.available(thief, now) {
+            return false;
+        }
+        let (Some(from), Some(to)) = (
+            self.view.machines.get(&victim),
+            self.view.machines.get(&thief),
+        ) else {
+            return false;
+        };
+        let Some(size) = self.size(to) else {
+            return false;
+        };
+        let mut used = self.used(thief);
+        let coming = self.moves.iter().filter(|m| m.thief == thief);
+        for e in coming.flat_map(|m| &m.entries).chain(&pack.tasks) {
+            if let Some(job) = self.view.jobs.get(&e.task.job) {
+                used.add(&needs_of(job).room, 1.0);
+            }
+        }
+        // What is stolen must be able to start where it goes.
+        used.fits(&size)
+            && pack.tasks.iter().all(|e| {
+                self.view.jobs.get(&e.task.job).is_some_and(|job| {
+                    let n = needs_of(job);
+                    let placed = n.same_place || n.zone_most.is_some();
+                    n.suits(to.frame, to.zone, to.spot, &size) && (!placed || from.zone == to.zone)
+                })
+            })
+    }
+}
