--- a/benches/costs.rs
+++ b/benches/costs.rs
@@ -60,7 +60,7 @@
             measure(&mut report, || drop(black_box(node.core.on_report(r, now))));
         }
         if let Some(node) = w.nodes[leader].as_mut() {
-            let news = node.core.peer_news(now);
+            let news = node.core.peer_news(true, now);
             measure(&mut peer, || node.core.on_peer(news, now));
         }
         let body = serde_json::json!({ "ref": "wk-000412", "route": "r", "crew": "blue" });
--- a/src/api.rs
+++ b/src/api.rs
@@ -2,9 +2,10 @@
 
 use crate::clock::{Clock, Ms};
 use crate::core::{Core, Outcome, Reply};
+use crate::fresh::Fresh;
 use crate::jobs::{self, Finals, Read};
 use crate::state::{StateClient, StateError};
-use crate::view::{job_key, past_key};
+use crate::view::past_key;
 use crate::wire::{JobAnswer, JobRecord, JobStatus, PeerNews, Report};
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse, web};
@@ -18,6 +19,8 @@
     pub core: Mutex<Core>,
     /// Final answers.
     pub finals: Mutex<Finals>,
+    /// Questions that wait for the replica.
+    pub fresh: Fresh,
     /// Time.
     pub clock: Box<dyn Clock + Send + Sync>,
     /// How long requests of users and workers took here, microseconds.
@@ -38,6 +41,8 @@
     pub shared: Arc<Shared>,
     /// State service.
     pub state: StateClient,
+    /// Least time between two reads that let users' questions wait for the replica.
+    pub pause: Duration,
 }
 
 const READ_WAIT: Duration = Duration::from_millis(1200);
@@ -67,7 +72,10 @@
 
 /// A job as the state service has it now.
 struct Found {
+    /// The value of its own key.
     record: JobRecord,
+    /// Tasks done, as all keys together show them.
+    done: u32,
     stamp: u64,
 }
 
@@ -78,32 +86,42 @@
         self.shared.core.lock().state_ok(now)
     }
 
-    /// Reads a job with reads begun now: an answer older than one that any controller gave
+    /// Looks a job up as of now or later: an answer older than one that any controller gave
     /// before is impossible.
     async fn look_up(&self, name: &str) -> Result<Option<Found>, StateError> {
-        for key in [job_key(name), past_key(name)] {
-            if let Some(item) = self.state.read(&key, READ_WAIT).await? {
-                let record =
-                    serde_json::from_value(item.v).map_err(|e| StateError::Odd(e.to_string()))?;
-                return Ok(Some(Found {
-                    record,
-                    stamp: item.stamp,
-                }));
-            }
+        let fresh = &self.shared.fresh;
+        fresh.catch_up(&self.state, self.pause, READ_WAIT).await?;
+        let known = {
+            let core = self.shared.core.lock();
+            let ix = core.view.names.jobs.get(name);
+            ix.and_then(|ix| core.view.jobs.get(&ix)).map(|job| Found {
+                record: job.record(job.stored.clone(), job.status),
+                done: job.done.len(),
+                stamp: job.stamp,
+            })
+        };
+        if known.is_some() {
+            return Ok(known);
         }
-        Ok(None)
+        // It left the watched part, or was never accepted.
+        let Some(item) = self.state.read(&past_key(name), READ_WAIT).await? else {
+            return Ok(None);
+        };
+        let record: JobRecord = item.v.read().map_err(|e| StateError::Odd(e.to_string()))?;
+        Ok(Some(Found {
+            done: record.d.len(),
+            record,
+            stamp: item.stamp,
+        }))
     }
 
-    fn answer(&self, name: &str, record: &JobRecord) -> JobAnswer {
+    fn answer(&self, name: &str, state: JobStatus, done: u32) -> JobAnswer {
         let running = {
             let core = self.shared.core.lock();
-            core.view
-                .names
-                .jobs
-                .get(name)
-                .map_or(0, |ix| core.running(ix))
+            let ix = core.view.names.jobs.get(name);
+            ix.map_or(0, |ix| core.running(ix))
         };
-        let answer = jobs::answer(name, record, running);
+        let answer = jobs::answer(name, state, done, running);
         self.shared.finals.lock().note(&answer);
         answer
     }
@@ -121,7 +139,7 @@
             return unavailable("the state service is out of reach");
         }
         match self.look_up(name).await {
-            Ok(Some(f)) => HttpResponse::Ok().json(self.answer(name, &f.record)),
+            Ok(Some(f)) => HttpResponse::Ok().json(self.answer(name, f.record.st, f.done)),
             Ok(None) => refusal,
             Err(e) => state_trouble(&e),
         }
@@ -206,7 +224,7 @@
             return unavailable("the state service is out of reach");
         }
         match self.look_up(name).await {
-            Ok(Some(f)) => HttpResponse::Ok().json(self.answer(name, &f.record)),
+            Ok(Some(f)) => HttpResponse::Ok().json(self.answer(name, f.record.st, f.done)),
             Ok(None) => refuse(StatusCode::NOT_FOUND, "no such job"),
             Err(e) => state_trouble(&e),
         }
@@ -231,7 +249,7 @@
                 Err(e) => return state_trouble(&e),
             };
             if found.record.st != JobStatus::Pending {
-                let a = self.answer(name, &found.record);
+                let a = self.answer(name, found.record.st, found.done);
                 return over(a.status);
             }
             let txn = jobs::cancel(name, &found.record, found.stamp);
@@ -239,9 +257,7 @@
                 Outcome::Done(ledger) => {
                     tracing::info!(job = name, ledger, "cancelled");
                     self.shared.core.lock().view.apply_own(&txn, ledger);
-                    let mut record = found.record;
-                    record.st = JobStatus::Withdrawn;
-                    let a = self.answer(name, &record);
+                    let a = self.answer(name, JobStatus::Withdrawn, found.done);
                     return over(a.status);
                 }
                 // An ending was recorded meanwhile: look again.
@@ -321,7 +337,7 @@
     let answer = {
         let mut core = door.shared.core.lock();
         core.on_peer(news, now);
-        core.peer_news(now)
+        core.peer_news(false, now)
     };
     match rmp_serde::to_vec_named(&answer) {
         Ok(body) => HttpResponse::Ok().body(body),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,7 +4,6 @@
 use crate::names::MachineIx;
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use std::collections::HashMap;
 
 /// The factors of a round.
 #[derive(Debug, Clone, Copy)]
@@ -47,12 +46,12 @@
 }
 
 impl Levels {
-    /// Computes the levels from the loads of all machines.
-    pub fn new(loads: &HashMap<MachineIx, f64>, f: &Factors) -> Option<Levels> {
-        if loads.is_empty() {
+    /// Computes the levels from the sum of all machines' loads and their number.
+    pub fn new(sum: f64, machines: usize, f: &Factors) -> Option<Levels> {
+        if machines == 0 {
             return None;
         }
-        let mean = loads.values().sum::<f64>() / loads.len() as f64;
+        let mean = sum / machines as f64;
         let epsilon = mean * f.tolerance;
         let pack = epsilon * f.pack;
         Some(Levels {
@@ -126,35 +125,21 @@
     }
 }
 
-/// The lightest known machine, the receiver of hints.
-pub fn lightest(loads: &HashMap<MachineIx, f64>, but: MachineIx) -> Option<MachineIx> {
-    loads
-        .iter()
-        .filter(|(m, _)| **m != but)
-        .min_by(|a, b| a.1.total_cmp(b.1).then(a.0.cmp(b.0)))
-        .map(|(&m, _)| m)
-}
-
-/// Picks where a steal goes next: among the most loaded known machines, or anywhere after too
-/// many hops; never to the thief, nor to machines that proved to be no victims.
+/// Picks where a steal goes next: among the most loaded of `known`, which has the heaviest first,
+/// or anywhere in it after too many hops; never to the thief, nor to machines that proved to be
+/// no victims.
 pub fn target(
-    loads: &HashMap<MachineIx, f64>,
+    known: &[(MachineIx, f64)],
+    far: bool,
     thief: MachineIx,
-    hops: u32,
     route: &[MachineIx],
     f: &Factors,
     rng: &mut impl Rng,
 ) -> Option<MachineIx> {
-    let mut open: Vec<(MachineIx, f64)> = loads
-        .iter()
-        .map(|(&m, &l)| (m, l))
-        .filter(|(m, _)| *m != thief && !route.contains(m))
-        .collect();
-    open.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
-    if f64::from(hops) <= loads.len() as f64 * f.hops {
-        open.truncate(f.targets);
-    }
-    open.choose(rng).map(|(m, _)| *m)
+    let open = |m: &&(MachineIx, f64)| m.0 != thief && !route.contains(&m.0);
+    let most = if far { known.len() } else { f.targets };
+    let picks: Vec<&(MachineIx, f64)> = known.iter().filter(open).take(most).collect();
+    picks.choose(rng).map(|m| m.0)
 }
 
 #[cfg(test)]
@@ -171,16 +156,13 @@
         hops: 0.25,
     };
 
-    fn loads(l: &[f64]) -> HashMap<MachineIx, f64> {
-        l.iter()
-            .enumerate()
-            .map(|(i, &l)| (MachineIx::from_raw(i as u32), l))
-            .collect()
+    fn of(l: &[f64]) -> Option<Levels> {
+        Levels::new(l.iter().sum(), l.len(), &F)
     }
 
     #[test]
     fn roles_follow_the_mean() {
-        let levels = Levels::new(&loads(&[0.0, 100.0, 200.0]), &F).expect("loads");
+        let levels = of(&[0.0, 100.0, 200.0]).expect("loads");
         assert_eq!(
             (levels.mean, levels.epsilon, levels.pack),
             (100.0, 5.0, 2.0)
@@ -190,14 +172,14 @@
         assert_eq!(levels.role(98.1), Role::Balanced);
         assert_eq!(levels.role(98.0), Role::Thief { steals: 1 });
         assert_eq!(levels.role(93.0), Role::Thief { steals: 4 });
-        let idle = Levels::new(&loads(&[0.0, 0.0]), &F).expect("loads");
+        let idle = of(&[0.0, 0.0]).expect("loads");
         assert_eq!(idle.role(0.0), Role::Balanced, "nothing to steal anywhere");
-        assert_eq!(Levels::new(&loads(&[]), &F), None);
+        assert_eq!(of(&[]), None);
     }
 
     #[test]
     fn packs_hold_the_surplus_and_leave_the_mean() {
-        let levels = Levels::new(&loads(&[0.0, 200.0]), &F).expect("loads");
+        let levels = of(&[0.0, 200.0]).expect("loads");
         let small: Vec<(u32, f64)> = (0..200).map(|i| (i, 1.0)).collect();
         let packs = levels.packs(200.0, &small);
         let moved: f64 = packs.iter().map(|p| p.load).sum();
@@ -210,20 +192,23 @@
 
     #[test]
     fn steals_go_to_the_heaviest_and_after_the_cutoff_anywhere() {
-        let all = loads(&[0.0, 9.0, 8.0, 7.0, 6.0, 5.0, 4.0, 3.0]);
+        let all: Vec<(MachineIx, f64)> = [9.0, 8.0, 7.0, 6.0, 5.0, 4.0, 3.0, 0.0]
+            .into_iter()
+            .zip([1, 2, 3, 4, 5, 6, 7, 0].map(MachineIx::from_raw))
+            .map(|(l, m)| (m, l))
+            .collect();
         let me = MachineIx::from_raw(0);
         let mut rng = SmallRng::seed_from_u64(3);
-        let mut pick = |hops, route: &[MachineIx]| {
+        let mut pick = |far, route: &[MachineIx]| {
             (0..200)
-                .filter_map(|_| target(&all, me, hops, route, &F, &mut rng))
+                .filter_map(|_| target(&all, far, me, route, &F, &mut rng))
                 .map(|m| m.raw())
                 .collect::<std::collections::BTreeSet<_>>()
         };
-        assert_eq!(pick(2, &[]), [1, 2, 3, 4].into());
-        assert_eq!(pick(3, &[]), [1, 2, 3, 4, 5, 6, 7].into());
-        assert_eq!(pick(0, &[MachineIx::from_raw(1)]), [2, 3, 4, 5].into());
-        let everyone: Vec<_> = all.keys().copied().collect();
-        assert!(pick(9, &everyone).is_empty());
-        assert_eq!(lightest(&all, me), Some(MachineIx::from_raw(7)));
+        assert_eq!(pick(false, &[]), [1, 2, 3, 4].into());
+        assert_eq!(pick(true, &[]), [1, 2, 3, 4, 5, 6, 7].into());
+        assert_eq!(pick(false, &[MachineIx::from_raw(1)]), [2, 3, 4, 5].into());
+        let everyone: Vec<_> = all.iter().map(|m| m.0).collect();
+        assert!(pick(true, &everyone).is_empty());
     }
 }
--- a/src/core/commits.rs
+++ b/src/core/commits.rs
@@ -2,30 +2,79 @@
 
 use super::*;
 
+/// Part of the state service's changes that the leader's edits of blocks may take.
+const EDITS: f64 = 0.4;
+/// Part that all holders' endings together may take. What is left is for submissions,
+/// cancellations, grants, finished jobs and totals.
+const ENDINGS: f64 = 0.35;
+
+/// What a transaction does besides its changes of keys, for the time until it is settled.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Payload {
+    /// Blocks that it writes.
+    pub blocks: Vec<BlockId>,
+    /// Endings that it records.
+    pub ends: Vec<(MachineIx, Entry, End)>,
+    /// Moves that it makes.
+    pub moves: Vec<Move>,
+    /// Tasks that it binds.
+    pub binds: Vec<(MachineIx, Entry)>,
+    /// Machines that it puts into a block.
+    pub placed: Vec<MachineIx>,
+}
+
+/// A transaction that is not settled.
+#[derive(Debug, Clone)]
+pub(crate) struct InFlight {
+    txn: Txn,
+    /// An earlier copy may have been, or may yet be, carried out.
+    unsure: bool,
+    /// When to send it again; none while an answer is awaited.
+    again: Option<Ms>,
+    pub(crate) payload: Payload,
+}
+
 impl Core {
     /// Whether an ending of this entry waits to be recorded.
-    pub(crate) fn ended(&self, e: &Entry) -> bool {
-        self.ends.contains_key(&(e.attempt, e.task))
+    pub(crate) fn ended(&self, ix: MachineIx, e: &Entry) -> bool {
+        self.ends
+            .get(&ix)
+            .is_some_and(|ends| ends.iter().any(|x| x.0 == *e))
     }
 
+    /// Whether a transaction of this kind may be planned now: none is under way, its turn has
+    /// come, and the replica shows why the last one failed.
     pub(crate) fn idle(&self, op: Op, now: Ms) -> bool {
+        let waits = self.op_wait.get(&op).copied().unwrap_or(0);
         !self.ops.contains_key(&op)
-            && self.view.ledger >= self.wait_ledger
+            && self.view.ledger >= self.wait_ledger.max(waits)
             && self.op_after.get(&op).is_none_or(|&t| now >= t)
     }
 
-    pub(crate) fn submit(&mut self, op: Op, txn: Txn, out: &mut Vec<Action>) {
-        self.submit_with(op, txn, Vec::new(), Vec::new(), out);
+    /// Whether this controller has a write of a block under way: a second one would only make
+    /// one of the two fail.
+    pub(crate) fn block_busy(&self, id: BlockId) -> bool {
+        self.ops.values().any(|f| f.payload.blocks.contains(&id))
+    }
+
+    /// Tasks whose binding is under way.
+    pub(crate) fn binding(&self) -> impl Iterator<Item = &(MachineIx, Entry)> {
+        self.ops.values().flat_map(|f| &f.payload.binds)
+    }
+
+    /// Machines that are being put into blocks.
+    pub(crate) fn placing(&self) -> HashSet<MachineIx> {
+        let flights = self.ops.values();
+        flights.flat_map(|f| &f.payload.placed).copied().collect()
+    }
+
+    /// Blocks that some write under way touches.
+    pub(crate) fn ops_blocks(&self) -> impl Iterator<Item = BlockId> + '_ {
+        let flights = self.ops.values();
+        flights.flat_map(|f| &f.payload.blocks).copied()
     }
 
-    pub(crate) fn submit_with(
-        &mut self,
-        op: Op,
-        txn: Txn,
-        ends: Vec<(Entry, End)>,
-        moves: Vec<Move>,
-        out: &mut Vec<Action>,
-    ) {
+    pub(crate) fn submit(&mut self, op: Op, txn: Txn, payload: Payload, out: &mut Vec<Action>) {
         out.push(Action::Commit {
             op,
             txn: txn.clone(),
@@ -34,12 +83,22 @@
             txn,
             unsure: false,
             again: None,
-            ends,
-            moves,
+            payload,
         };
         self.ops.insert(op, flight);
     }
 
+    /// Sends again what had no answer.
+    pub(crate) fn send_again(&mut self, now: Ms, out: &mut Vec<Action>) {
+        for (&op, f) in &mut self.ops {
+            if f.again.is_some_and(|t| now >= t) {
+                f.again = None;
+                let txn = f.txn.clone();
+                out.push(Action::Commit { op, txn });
+            }
+        }
+    }
+
     /// A transaction was answered, or was not.
     pub fn on_commit(&mut self, op: Op, outcome: Outcome, now: Ms) {
         let Some(flight) = self.ops.get_mut(&op) else {
@@ -77,7 +136,8 @@
                         info!(boot = self.boot.0, "joined");
                     }
                     Op::Lead => info!(term = ledger, "took the leadership"),
-                    Op::Holder => self.holder_done(&flight, ledger),
+                    Op::Ends(_) => self.ends_done(&flight.payload, ledger),
+                    Op::Edit(_) => self.counters.bound += flight.payload.binds.len() as u64,
                     Op::Leader | Op::Load => {}
                 }
                 self.after_view(now);
@@ -85,17 +145,20 @@
             Outcome::Conflict(ledger) => {
                 self.counters.conflicts += 1;
                 debug!(?op, ledger, "a condition failed");
-                self.wait_ledger = self.wait_ledger.max(ledger);
-                let entries = flight.moves.into_iter().flat_map(|m| m.entries).collect();
+                self.op_wait.insert(op, ledger);
+                let moves = flight.payload.moves.into_iter();
+                let entries = moves.flat_map(|m| m.entries).collect();
                 // An unanswered copy may have made the move: the tasks stay put until the
                 // replica shows which queue lists them.
                 self.release.push((ledger, entries));
-                self.pace(op, flight.txn.then.len(), now);
+                // Somebody else was faster; the next try need not wait for its turn.
+                self.op_after.insert(op, now.plus(jitter / 4));
                 self.after_view(now);
             }
             Outcome::NoLease | Outcome::Refused => {
                 self.counters.refused += 1;
-                for e in flight.moves.iter().flat_map(|m| &m.entries) {
+                self.refused_at = Some(now);
+                for e in flight.payload.moves.iter().flat_map(|m| &m.entries) {
                     self.reserved.remove(e);
                 }
                 self.op_after.insert(op, now.plus(200 + jitter));
@@ -104,22 +167,33 @@
         }
     }
 
-    /// Spreads writes over time, so that three controllers together stay within the budget.
-    pub(crate) fn pace(&mut self, op: Op, writes: usize, now: Ms) {
+    /// Spreads writes over time, so that all controllers together stay within the budget: each
+    /// block has its turn, and what comes in between is gathered for it.
+    fn pace(&mut self, op: Op, writes: usize, now: Ms) {
         let share = match op {
-            Op::Holder => 0.22,
-            Op::Leader => 0.3,
+            Op::Ends(_) => ENDINGS,
+            Op::Edit(_) => EDITS,
             _ => return,
         };
         let rate = self.settings.platform.settings.state.write_rps * share;
-        let ms = (writes as f64 / rate * 1000.0) as u64;
+        let turns = (self.view.blocks.len() * writes) as f64;
         let least = self.settings.options.flush_ms as u64;
+        let ms = (turns / rate * 1000.0) as u64;
         self.op_after.insert(op, now.plus(ms.max(least)));
+        if self.op_after.len() > 1000 {
+            self.op_after.retain(|_, t| now < *t);
+            self.op_wait.retain(|_, l| self.view.ledger < *l);
+        }
     }
 
-    fn holder_done(&mut self, flight: &InFlight, ledger: u64) {
-        for (entry, end) in &flight.ends {
-            self.ends.remove(&(entry.attempt, entry.task));
+    fn ends_done(&mut self, payload: &Payload, ledger: u64) {
+        for (ix, entry, end) in &payload.ends {
+            if let Some(ends) = self.ends.get_mut(ix) {
+                ends.retain(|e| e.0 != *entry);
+                if ends.is_empty() {
+                    self.ends.remove(ix);
+                }
+            }
             match end {
                 End::Done => self.counters.done += 1,
                 End::Failed => self.counters.failed += 1,
@@ -133,13 +207,13 @@
                 "left its queue"
             );
         }
-        for mv in &flight.moves {
+        for mv in &payload.moves {
             self.counters.packs += 1;
             self.counters.stolen_tasks += mv.entries.len() as u64;
             for e in &mv.entries {
                 self.reserved.remove(e);
             }
-            info!(
+            debug!(
                 victim = self.view.names.machines.name(mv.victim),
                 thief = self.view.names.machines.name(mv.thief),
                 tasks = mv.entries.len(),
--- a/src/core/endings.rs
+++ b/src/core/endings.rs
@@ -1,16 +1,28 @@
 //! Endings and moves: found out, gathered, and written by the holder of a block.
 
+use super::commits::Payload;
 use super::*;
+use crate::ranges::RangeSet;
+use crate::view::Draft;
+use crate::wire::BlockRecord;
+
+/// Above this part of the largest value, a block's list of done tasks is moved to the jobs' keys.
+const FLUSH_ABOVE: f64 = 0.6;
+/// Jobs whose list is moved at a time: each costs a change, and frees the list in every block.
+const FLUSHED: usize = 3;
 
 impl Core {
     /// Gives up machines whose tasks are surely gone.
     pub(crate) fn find_lost(&mut self, now: Ms) {
         let worker = self.settings.worker_gone_ms();
         let stranger = self.settings.stranger_gone_ms();
+        let mut lost: Vec<MachineIx> = Vec::new();
+        let mut gone_legs = Vec::new();
         for (&ix, rt) in &mut self.rt {
-            let Some(m) = self.view.machines.get(&ix) else {
+            if rt.lost {
+                lost.push(ix);
                 continue;
-            };
+            }
             // Before the machine obeys our token an earlier holder may still be answering it.
             let gone = match (rt.fenced, rt.last_ok) {
                 (true, Some(ok)) => now.since(ok) > worker,
@@ -18,174 +30,202 @@
                     now.since(rt.since) > stranger && ok.is_none_or(|ok| now.since(ok) > worker)
                 }
             };
-            if !gone || rt.lost || (rt.heard.is_none() && m.queue.is_empty()) {
+            if !gone {
+                continue;
+            }
+            let Some(m) = self.view.machines.get(&ix) else {
+                continue;
+            };
+            if rt.heard.is_none() && m.queue.is_empty() {
                 continue;
             }
             rt.lost = true;
-            rt.legs.clear();
+            gone_legs.push(std::mem::take(&mut rt.legs));
             rt.launched.clear();
             self.counters.lost_machines += 1;
+            lost.push(ix);
             warn!(
                 rig = self.view.names.machines.name(ix),
                 tasks = m.queue.len(),
                 "machine is lost"
             );
         }
-        for (&ix, rt) in &self.rt {
+        for legs in gone_legs {
+            self.count_running(&legs, false);
+        }
+        for ix in lost {
             let Some(m) = self.view.machines.get(&ix) else {
                 continue;
             };
-            if rt.lost {
-                for e in &m.queue {
-                    // What moves away at this moment keeps its attempt: it ends here only if
-                    // the move fails and the task is still listed here.
-                    if !self.reserved.contains(e) {
-                        let end = (ix, End::Free);
-                        self.ends.entry((e.attempt, e.task)).or_insert(end);
-                    }
+            // What moves away at this moment keeps its attempt: it ends here only if the move
+            // fails and the task is still listed here.
+            for e in m.queue.iter().filter(|e| !self.reserved.contains(e)) {
+                let ends = self.ends.entry(ix).or_default();
+                if !ends.iter().any(|x| x.0 == *e) {
+                    ends.push((*e, End::Free));
                 }
             }
         }
     }
 
-    /// Records endings and moves of the blocks held.
+    /// Records endings and moves of the blocks held, one write a block.
     pub(crate) fn tick_holder(&mut self, now: Ms, out: &mut Vec<Action>) {
-        if !self.idle(Op::Holder, now) || (self.ends.is_empty() && self.moves.is_empty()) {
-            return;
-        }
-        let mut most = 200;
-        let moves = std::mem::take(&mut self.moves);
-        loop {
-            let planned = self.plan_holder(most, &moves);
-            let Some((txn, ends, used)) = planned else {
-                for e in moves.iter().flat_map(|m| &m.entries) {
-                    self.reserved.remove(e);
-                }
-                return;
-            };
-            let size = serde_json::to_string(&txn).map_or(0, |s| s.len());
-            if size > 60_000 && most > 1 {
-                most /= 2;
+        let machines = self.ends.keys().copied();
+        let machines = machines.chain(self.moves.iter().map(|m| m.victim));
+        let blocks: std::collections::BTreeSet<BlockId> = machines
+            .filter_map(|m| Some(self.view.machines.get(&m)?.block))
+            .collect();
+        for id in blocks {
+            let op = Op::Ends(id);
+            if !self.idle(op, now) || self.block_busy(id) {
                 continue;
             }
-            for e in moves
-                .iter()
-                .filter(|m| !used.contains(m))
-                .flat_map(|m| &m.entries)
-            {
-                self.reserved.remove(e);
+            if let Some((txn, payload)) = self.plan_ends(id) {
+                self.submit(op, txn, payload, out);
             }
-            self.submit_with(Op::Holder, txn, ends, used, out);
-            return;
         }
     }
 
-    #[allow(clippy::type_complexity)]
-    pub(crate) fn plan_holder(
-        &self,
-        most: usize,
-        moves: &[Move],
-    ) -> Option<(Txn, Vec<(Entry, End)>, Vec<Move>)> {
-        let ops = self.settings.platform.settings.state.txn_ops;
-        let where_is: HashMap<Entry, (MachineIx, BlockId)> = self
-            .rt
-            .keys()
-            .filter_map(|&ix| Some((ix, self.view.machines.get(&ix)?)))
-            .flat_map(|(ix, m)| m.queue.iter().map(move |e| (*e, (ix, m.block))))
-            .collect();
-        let mut blocks: HashSet<BlockId> = HashSet::new();
-        let mut jobs: BTreeMap<JobIx, crate::ranges::RangeSet> = BTreeMap::new();
-        let mut gone: HashSet<Entry> = HashSet::new();
-        let mut ends = Vec::new();
-        for (&(attempt, task), &(machine, end)) in &self.ends {
-            let entry = Entry { task, attempt };
-            let Some(&(at, block)) = where_is.get(&entry) else {
-                continue;
-            };
-            if at != machine {
-                continue;
-            }
-            let job = self
-                .view
-                .jobs
-                .get(&task.job)
-                .filter(|j| j.status == JobStatus::Pending);
-            let writes = usize::from(!blocks.contains(&block))
-                + usize::from(end == End::Done && job.is_some() && !jobs.contains_key(&task.job));
-            if blocks.len() + jobs.len() + writes > ops || ends.len() >= most {
-                continue;
-            }
-            blocks.insert(block);
-            if let (End::Done, Some(job)) = (end, job) {
-                jobs.entry(task.job)
-                    .or_insert_with(|| job.done.clone())
-                    .insert(task.leg);
+    fn plan_ends(&mut self, id: BlockId) -> Option<(Txn, Payload)> {
+        let mut payload = Payload {
+            blocks: vec![id],
+            ..Payload::default()
+        };
+        let mut draft = self.view.draft(id);
+        for (&ix, m) in &mut draft.machines {
+            for (entry, end) in self.ends.get(&ix).into_iter().flatten() {
+                let Some(at) = m.queue.iter().position(|e| e == entry) else {
+                    continue;
+                };
+                m.queue.remove(at);
+                payload.ends.push((ix, *entry, *end));
             }
-            gone.insert(entry);
-            ends.push((entry, end));
         }
-        let mut used = Vec::new();
-        let mut arrive: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
-        for mv in moves {
-            let (Some(from), Some(to)) = (
-                self.view.machines.get(&mv.victim),
-                self.view.machines.get(&mv.thief),
-            ) else {
-                continue;
-            };
-            let new = [from.block, to.block]
-                .iter()
-                .collect::<HashSet<_>>()
-                .iter()
-                .filter(|b| !blocks.contains(**b))
-                .count();
-            let whole = mv.entries.iter().all(|e| {
-                from.queue.contains(e) && !gone.contains(e) && self.unstarted(mv.victim, e)
-            });
-            if !whole || to.leaving || blocks.len() + jobs.len() + new > ops {
-                continue;
+        for (_, entry, end) in &payload.ends {
+            if *end == End::Done {
+                draft.note_done(entry.task);
             }
-            blocks.extend([from.block, to.block]);
-            gone.extend(&mv.entries);
-            arrive.entry(mv.thief).or_default().extend(&mv.entries);
-            used.push(mv.clone());
         }
-        if ends.is_empty() && used.is_empty() {
+        let mut drafts = BTreeMap::from([(id, draft)]);
+        self.plan_moves(id, &mut drafts, &mut payload);
+        if payload.ends.is_empty() && payload.moves.is_empty() {
             return None;
         }
+        let mut records: Vec<(BlockId, BlockRecord, usize)> = Vec::new();
+        for (&id, draft) in &drafts {
+            let record = self.view.seal(draft);
+            let bytes = serde_json::to_string(&record).map_or(0, |s| s.len());
+            records.push((id, record, bytes));
+        }
+        let most = self.settings.value_bytes();
+        if records.len() > 1 && records.iter().any(|r| r.2 > most * 9 / 10) {
+            // The thief's block has no room for more: the endings go without the moves.
+            for e in payload.moves.iter().flat_map(|m| &m.entries) {
+                self.reserved.remove(e);
+            }
+            return self.plan_ends(id);
+        }
+        let flushed = match records.iter_mut().find(|r| r.0 == id) {
+            Some((_, record, bytes)) => self.flush(record, *bytes),
+            None => Vec::new(),
+        };
         let mut txn = Txn::default();
-        for &block in &blocks {
-            txn.guards.push(self.guard(&grant_key(block)));
-            let key = block_key(block);
+        for (id, record, _) in &records {
+            // Whoever holds the thief's block must hold it still, as must we the victim's.
+            txn.guards.push(self.guard(&grant_key(*id)));
+            let key = block_key(*id);
             txn.guards.push(self.guard(&key));
-            let record = self.view.block_record(block, |ix, m| {
-                let stay = m.queue.iter().filter(|e| !gone.contains(e));
-                let come = arrive.get(&ix).map_or(&[][..], Vec::as_slice);
-                stay.chain(come).copied().collect()
-            });
-            if !arrive.is_empty()
-                && serde_json::to_string(&record).map_or(0, |s| s.len())
-                    > self.settings.value_bytes()
-            {
-                // The thief's block has no room for more: the endings go without the moves.
-                return self.plan_holder(most, &[]);
+            txn.then.push(put(&key, record, None));
+        }
+        for (job, here) in flushed {
+            if let Some(change) = self.job_change(job, &here) {
+                let key = job_key(self.view.names.jobs.name(job));
+                txn.guards.push(self.guard(&key));
+                txn.then.push(change);
             }
-            txn.then.push(put(&key, &record, None));
         }
-        for (ix, done) in jobs {
-            let Some(job) = self.view.jobs.get(&ix) else {
+        Some((txn, payload))
+    }
+
+    /// Adds the moves that leave a block, and keeps those for later that cannot go now.
+    fn plan_moves(
+        &mut self,
+        id: BlockId,
+        drafts: &mut BTreeMap<BlockId, Draft>,
+        payload: &mut Payload,
+    ) {
+        let most = self.settings.platform.settings.state.txn_ops / 2;
+        let mut later = Vec::new();
+        for mv in std::mem::take(&mut self.moves) {
+            let victim = self.view.machines.get(&mv.victim);
+            if victim.is_some_and(|m| m.block != id) {
+                later.push(mv);
                 continue;
+            }
+            let to = self.view.machines.get(&mv.thief);
+            let whole = || {
+                let draft = drafts.get(&id)?.machines.get(&mv.victim)?;
+                let ok = |e| draft.queue.contains(e) && self.unstarted(mv.victim, e);
+                mv.entries.iter().all(ok).then_some(())
             };
-            let key = job_key(self.view.names.jobs.name(ix));
-            txn.guards.push(self.guard(&key));
-            let status = if done.len() >= job.spec.legs {
-                JobStatus::Done
-            } else {
-                JobStatus::Pending
+            let (Some(to), Some(())) = (to.filter(|to| !to.leaving), whole()) else {
+                for e in &mv.entries {
+                    self.reserved.remove(e);
+                }
+                continue;
             };
-            txn.then.push(put(&key, &job.record(done, status), None));
+            let to = to.block;
+            if !drafts.contains_key(&to) && (drafts.len() >= most || self.block_busy(to)) {
+                later.push(mv);
+                continue;
+            }
+            if to != id && !payload.blocks.contains(&to) {
+                payload.blocks.push(to);
+            }
+            drafts.entry(to).or_insert_with(|| self.view.draft(to));
+            let from = drafts.get_mut(&id);
+            if let Some(m) = from.and_then(|d| d.machines.get_mut(&mv.victim)) {
+                m.queue.retain(|e| !mv.entries.contains(e));
+            }
+            let to = drafts.get_mut(&to);
+            if let Some(m) = to.and_then(|d| d.machines.get_mut(&mv.thief)) {
+                m.queue.extend(&mv.entries);
+            }
+            payload.moves.push(mv);
         }
-        Some((txn, ends, used))
+        self.moves = later;
+    }
+
+    /// Chooses jobs whose own keys take over the done tasks of a block that has grown large.
+    fn flush(&self, record: &mut BlockRecord, bytes: usize) -> Vec<(JobIx, RangeSet)> {
+        let most = self.settings.value_bytes() as f64;
+        let listed: usize = record.d.iter().map(|d| d.1.text_len() + 8).sum();
+        let full = bytes as f64 > most * FLUSH_ABOVE && listed as f64 > most * 0.15;
+        let very_full = bytes as f64 > most * 0.9;
+        if !full && !very_full {
+            return Vec::new();
+        }
+        let ops = self.settings.platform.settings.state.txn_ops;
+        let number = if very_full { ops / 2 } else { FLUSHED };
+        record.d.sort_by_key(|d| std::cmp::Reverse(d.1.text_len()));
+        let names = &self.view.names.jobs;
+        let flushed = record.d.drain(..number.min(record.d.len()));
+        flushed
+            .filter_map(|(j, tasks)| Some((names.get(record.j.get(j)?)?, tasks)))
+            .collect()
+    }
+
+    /// A write of a job's own key that shows every task known to be done, and `more`.
+    pub(crate) fn job_change(&self, ix: JobIx, more: &RangeSet) -> Option<Change> {
+        let job = self.view.jobs.get(&ix)?;
+        let mut done = job.done.clone();
+        done.union(more);
+        let status = match job.status {
+            JobStatus::Pending if done.len() >= job.spec.legs => JobStatus::Done,
+            status => status,
+        };
+        let record = job.record(done, status);
+        Some(put(&job_key(self.view.names.jobs.name(ix)), &record, None))
     }
 
     /// Whether a machine that obeys our token surely has not been told to start a task.
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -10,6 +10,7 @@
         // A life ends with its lease, so that nothing granted to the earlier life counts on.
         if self.permit.is_some() {
             self.boot = Boot(self.rng.random::<u64>() >> 12);
+            self.view.touch_all();
         }
         self.permit = Some(permit);
         self.joined = false;
@@ -75,20 +76,29 @@
             && self.confirmed.is_some_and(|c| now.since(c) < 8000)
     }
 
+    /// Whether the state service refused something for its budget a moment ago.
+    pub(crate) fn refused_lately(&self, now: Ms) -> bool {
+        self.refused_at.is_some_and(|t| now.since(t) < 3000)
+    }
+
     /// Whether users should be sent here.
     pub fn ready(&self, now: Ms) -> bool {
         if !self.view.synced || !self.catalog_known() || self.permit.is_none() {
             return false;
         }
+        if self.state_ok(now) {
+            return true;
+        }
         // When nobody reaches the state service, being marked unhealthy would only keep users
-        // away for longer than the outage lasts.
-        self.state_ok(now)
-            || self
-                .others
-                .iter()
-                .filter_map(|h| self.peers.get(h))
-                .filter(|p| p.heard.is_some_and(|h| now.since(h) < 3000))
-                .all(|p| !p.state_ok)
+        // away for longer than the outage lasts. A controller that hears nobody either is itself
+        // cut off, and the others may be well.
+        let heard: Vec<&PeerRt> = self
+            .others
+            .iter()
+            .filter_map(|h| self.peers.get(h))
+            .filter(|p| p.heard.is_some_and(|h| now.since(h) < 3000))
+            .collect();
+        (self.others.is_empty() || !heard.is_empty()) && heard.iter().all(|p| !p.state_ok)
     }
 
     pub(crate) fn tick_lease(&mut self, now: Ms, out: &mut Vec<Action>) {
@@ -118,12 +128,23 @@
             guards: vec![self.guard(&key)],
             then: vec![put(&key, &record, Some(permit))],
         };
-        self.submit(Op::Join, txn, out);
+        self.submit(Op::Join, txn, commits::Payload::default(), out);
     }
 
-    /// The first full read, begun at `sent`, is complete.
-    pub fn on_load(&mut self, items: Vec<crate::wire::Item>, ledger: u64, sent: Ms, now: Ms) {
+    /// A full read, begun at `sent`, is complete. Its pages were read one after the other, from
+    /// revision `ledger` on and up to `upto`.
+    pub fn on_load(
+        &mut self,
+        items: Vec<crate::wire::Item>,
+        ledger: u64,
+        upto: u64,
+        sent: Ms,
+        now: Ms,
+    ) {
         self.view.load(items, ledger);
+        // What moved from one page to another in between may be in neither: nothing is planned
+        // before the watch has made the replica whole.
+        self.wait_ledger = self.wait_ledger.max(upto);
         self.confirmed = self.confirmed.max(Some(sent));
         self.after_view(now);
         info!(
@@ -141,20 +162,27 @@
         self.after_view(now);
     }
 
-    /// Follows up every change of the replica.
+    /// Follows up every change of the replica, looking only at what changed.
     pub(crate) fn after_view(&mut self, now: Ms) {
-        for job in self.view.release_left() {
+        let released: HashSet<JobIx> = self.view.release_left().into_iter().collect();
+        if !released.is_empty() {
             // The index may come back as another job: nothing may remember it.
+            let stays = |j: &JobIx| !released.contains(j);
             for rt in self.rt.values_mut() {
-                rt.legs.retain(|t, _| t.job != job);
-                rt.launched.retain(|t| t.job != job);
-                rt.failed.retain(|&j| j != job);
+                rt.legs.retain(|t, _| stays(&t.job));
+                rt.launched.retain(|t| stays(&t.job));
+                rt.failed.retain(stays);
+            }
+            for ends in self.ends.values_mut() {
+                ends.retain(|(e, _)| stays(&e.task.job));
             }
-            self.ends.retain(|(_, t), _| t.job != job);
-            self.reserved.retain(|e| e.task.job != job);
-            self.fails.remove(&job);
+            self.reserved.retain(|e| stays(&e.task.job));
+            self.running.retain(|j, _| stays(j));
+            self.fails.retain(|j, _| stays(j));
+            self.lead.forget_jobs(&released);
             for p in self.peers.values_mut() {
-                p.fails.retain(|f| f.0 != job);
+                p.fails.retain(|f| stays(&f.0));
+                p.running.retain(|j, _| stays(j));
             }
         }
         let ledger = self.view.ledger;
@@ -172,49 +200,78 @@
         {
             self.on_catalog(crate::wire::Catalog { frames });
         }
-        // A machine's runtime belongs to one token.
-        let mut mine: HashMap<MachineIx, u64> = HashMap::new();
-        for (id, grant) in &self.view.grants {
-            if grant.host == self.me && grant.boot == self.boot {
-                for &m in self.view.blocks.get(id).map_or(&[][..], |b| &b.machines) {
-                    mine.insert(m, grant.stamp);
-                }
+        let touched = std::mem::take(&mut self.view.touched);
+        for host in touched.loads {
+            self.signs.insert(host, now);
+        }
+        for ix in touched.machines {
+            if !self.view.machines.contains_key(&ix) {
+                self.drop_machine(ix);
             }
         }
-        self.rt.retain(|m, _| mine.contains_key(m));
-        let mut renewed: HashSet<MachineIx> = HashSet::new();
-        for (&m, &token) in &mine {
-            let rt = self.rt.entry(m).or_default();
-            if rt.token != token {
-                renewed.insert(m);
-                *rt = Rt {
-                    token,
-                    since: now,
-                    ..Rt::default()
-                };
+        for id in touched.blocks {
+            let grant = self.view.grants.get(&id).copied();
+            let token = grant
+                .filter(|g| g.host == self.me && g.boot == self.boot)
+                .map(|g| g.stamp);
+            let machines = self.view.blocks.get(&id).map(|b| b.machines.clone());
+            for ix in machines.unwrap_or_default() {
+                self.follow_machine(ix, token, now);
             }
         }
-        // Conclusions drawn under one token are worth nothing under another: in between somebody
-        // else may have held the block and started what we took for unstarted. The grants'
-        // stamps guard what is under way already, not what still waits to be sent.
-        let holds = |m: &MachineIx| mine.contains_key(m) && !renewed.contains(m);
-        let view = &self.view;
-        self.ends.retain(|&(attempt, task), (m, _)| {
-            holds(m)
-                && view
-                    .machines
-                    .get(m)
-                    .is_some_and(|m| m.queue.contains(&Entry { task, attempt }))
-        });
-        let (kept, dropped): (Vec<Move>, Vec<Move>) = std::mem::take(&mut self.moves)
-            .into_iter()
-            .partition(|mv| holds(&mv.victim));
-        self.moves = kept;
-        for e in dropped.iter().flat_map(|m| &m.entries) {
-            self.reserved.remove(e);
-        }
-        if self.ends.len() > 10_000 {
-            warn!(endings = self.ends.len(), "endings pile up");
+    }
+
+    /// A machine's runtime belongs to one token.
+    fn follow_machine(&mut self, ix: MachineIx, token: Option<u64>, now: Ms) {
+        let Some(token) = token else {
+            self.drop_machine(ix);
+            return;
+        };
+        if self.rt.get(&ix).is_none_or(|rt| rt.token != token) {
+            // Conclusions drawn under one token are worth nothing under another: in between
+            // somebody else may have held the block and started what we took for unstarted. The
+            // grants' stamps guard what is under way already, not what still waits to be sent.
+            self.drop_machine(ix);
+            let rt = Rt {
+                token,
+                since: now,
+                ..Rt::default()
+            };
+            self.rt.insert(ix, rt);
+        } else if let Some(ends) = self.ends.get_mut(&ix) {
+            let queue = self.view.machines.get(&ix).map(|m| &m.queue);
+            ends.retain(|(e, _)| queue.is_some_and(|q| q.contains(e)));
+            if ends.is_empty() {
+                self.ends.remove(&ix);
+            }
+        }
+    }
+
+    /// Forgets what this controller knew of a machine as its holder.
+    fn drop_machine(&mut self, ix: MachineIx) {
+        if let Some(rt) = self.rt.remove(&ix) {
+            self.count_running(&rt.legs, false);
+        }
+        self.ends.remove(&ix);
+        for mv in self.moves.extract_if(.., |mv| mv.victim == ix) {
+            for e in &mv.entries {
+                self.reserved.remove(e);
+            }
+        }
+    }
+
+    /// Keeps count of the tasks that run on the machines held.
+    pub(crate) fn count_running(&mut self, legs: &HashMap<TaskIx, LegRt>, more: bool) {
+        for (task, _) in legs.iter().filter(|l| l.1.status == LegStatus::Running) {
+            let n = self.running.entry(task.job).or_default();
+            if more {
+                *n += 1;
+            } else {
+                *n = n.saturating_sub(1);
+            }
+            if *n == 0 {
+                self.running.remove(&task.job);
+            }
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,7 +3,7 @@
 //! No input or output happens here. The service feeds in what arrived and when, and carries out
 //! the [`Action`]s that come back; tests do the same with fakes.
 
-mod commits;
+pub(crate) mod commits;
 mod endings;
 mod lease;
 mod peers;
@@ -19,8 +19,8 @@
     load_key, node_key,
 };
 use crate::wire::{
-    Cause, Change, Frame, Guard, JobStatus, LegStatus, MachineNews, NewsList, NodeRecord, Order,
-    Orders, OwnerRecord, PeerNews, Report, Stray, Txn,
+    Cause, Change, Frame, Guard, JobStatus, Json, LegStatus, LoadRecord, MachineNews, NewsList,
+    NodeRecord, Order, Orders, OwnerRecord, PeerNews, Report, Stray, Txn,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -71,10 +71,12 @@
     Join,
     /// Take the leadership.
     Lead,
-    /// A write that only the leader may make.
+    /// A write that only the leader may make: grants, finished jobs, the catalog.
     Leader,
-    /// Endings and moves of the blocks held.
-    Holder,
+    /// The leader's changes of a block: machines in and out, new tasks.
+    Edit(BlockId),
+    /// Endings of a block that this controller holds, and moves out of it.
+    Ends(BlockId),
     /// Queue totals.
     Load,
 }
@@ -155,17 +157,23 @@
     pub failed: Vec<JobIx>,
     pub sick: bool,
     pub lost: bool,
+    /// Answers in a row that did not reach it, and how many did since.
+    pub unheard: u32,
+    pub heard_again: u32,
+    /// Since when answers do not reach it although its reports come.
+    pub deaf: Option<Ms>,
+    /// The latest report whose number is lower than one that came before: a late copy, or a
+    /// worker that has started anew.
+    pub low: Option<(u64, u64, Ms)>,
 }
 
-#[derive(Debug, Clone)]
-struct InFlight {
-    txn: Txn,
-    /// An earlier copy may have been, or may yet be, carried out.
-    unsure: bool,
-    /// When to send it again; none while an answer is awaited.
-    again: Option<Ms>,
-    ends: Vec<(Entry, End)>,
-    moves: Vec<Move>,
+impl Rt {
+    /// Whether the machine executes what its holder tells it. Only such a machine is given tasks:
+    /// one that reports but hears nothing, or of which only old copies of reports come, never
+    /// shows our token, or shows launches that do not appear.
+    pub fn obeys(&self) -> bool {
+        self.fenced && !self.lost && self.deaf.is_none()
+    }
 }
 
 /// What decides whether a machine can be used.
@@ -173,6 +181,8 @@
 pub(crate) struct MachineInfo {
     /// Milliseconds since its last report to its present holder.
     pub age_ms: Option<u64>,
+    /// Whether it obeys its holder's token and answers reach it.
+    pub obeys: bool,
     /// Under notice of the cloud.
     pub recalled: bool,
     /// Fails what it starts.
@@ -188,7 +198,11 @@
     pub state_ok: bool,
     /// Ages of what it heard from others when it spoke last.
     pub hears: HashMap<HostIx, u64>,
+    /// What it last said of its machines, and when.
     pub machines: HashMap<MachineIx, MachineNews>,
+    pub machines_at: Option<Ms>,
+    /// Tasks that run on them.
+    pub running: HashMap<JobIx, u32>,
     pub strays: Vec<Stray>,
     pub fails: Vec<(JobIx, u32, Ms)>,
 }
@@ -197,6 +211,8 @@
 struct StrayRt {
     first: Ms,
     last: Ms,
+    /// Number of its newest report: copies of older ones do not count.
+    newest: (u64, u64),
     /// The grant it came past; under another one the count begins anew.
     token: u64,
     frame: String,
@@ -272,17 +288,25 @@
     state_bad_since: Option<Ms>,
     pub(crate) rng: SmallRng,
     pub(crate) rt: HashMap<MachineIx, Rt>,
-    /// Endings to be recorded, with the machine on which they were found out.
-    ends: BTreeMap<(u64, TaskIx), (MachineIx, End)>,
+    /// Endings to be recorded, by the machine on which they were found out.
+    ends: HashMap<MachineIx, Vec<(Entry, End)>>,
+    /// Tasks that run on the machines held, by job.
+    running: HashMap<JobIx, u32>,
     pub(crate) moves: Vec<Move>,
     pub(crate) reserved: HashSet<Entry>,
     /// Entries to be released once the replica is at the revision.
     release: Vec<(u64, Vec<Entry>)>,
-    ops: HashMap<Op, InFlight>,
+    ops: HashMap<Op, commits::InFlight>,
     op_after: HashMap<Op, Ms>,
+    /// Revision that the replica must reach before the next one of a kind is planned.
+    op_wait: HashMap<Op, u64>,
+    /// When the state service last refused a write for its budget.
+    refused_at: Option<Ms>,
     /// Nothing new is planned before the replica is at this revision.
     wait_ledger: u64,
     pub(crate) peers: HashMap<HostIx, PeerRt>,
+    /// When each controller's queue totals last arrived by way of the state service.
+    signs: HashMap<HostIx, Ms>,
     strays: HashMap<String, StrayRt>,
     pub(crate) fails: HashMap<JobIx, Fails>,
     pub(crate) ratios: HashMap<ClassIx, f64>,
@@ -290,6 +314,8 @@
     pub(crate) frames: HashMap<FrameIx, Frame>,
     next_catalog: Ms,
     next_peers: Ms,
+    /// Messages to peers so far: some of them are long.
+    peer_turn: u32,
     pub(crate) next_round: Ms,
     pub(crate) lead: LeadRt,
     pub(crate) day_ms: u64,
@@ -330,20 +356,25 @@
             state_bad_since: None,
             rng,
             rt: HashMap::new(),
-            ends: BTreeMap::new(),
+            ends: HashMap::new(),
+            running: HashMap::new(),
             moves: Vec::new(),
             reserved: HashSet::new(),
             release: Vec::new(),
             ops: HashMap::new(),
             op_after: HashMap::new(),
+            op_wait: HashMap::new(),
+            refused_at: None,
             wait_ledger: 0,
             peers: HashMap::new(),
+            signs: HashMap::new(),
             strays: HashMap::new(),
             fails: HashMap::new(),
             ratios: HashMap::new(),
             frames: HashMap::new(),
             next_catalog: Ms(0),
             next_peers: Ms(0),
+            peer_turn: 0,
             next_round: Ms(0),
             lead: LeadRt::default(),
             day_ms: 0,
@@ -373,15 +404,7 @@
             out.push(Action::Catalog);
         }
         self.tick_lease(now, &mut out);
-        for (&op, f) in &mut self.ops {
-            if f.again.is_some_and(|t| now >= t) {
-                f.again = None;
-                out.push(Action::Commit {
-                    op,
-                    txn: f.txn.clone(),
-                });
-            }
-        }
+        self.send_again(now, &mut out);
         if self.view.synced {
             self.tick_join(now, &mut out);
             if self.has_authority(now) {
@@ -458,20 +481,43 @@
         if !self.idle(Op::Load, now) {
             return;
         }
-        let totals: BTreeMap<String, f64> = self
+        let names = &self.view.names.machines;
+        let mut loads: Vec<(f64, MachineIx)> = self
             .rt
             .keys()
-            .map(|&m| {
-                let load = (self.queue_load(m, now) * 10.0).round() / 10.0;
-                (self.view.names.machines.name(m).to_owned(), load)
-            })
+            .map(|&m| ((self.queue_load(m, now) * 10.0).round() / 10.0, m))
             .collect();
+        loads.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let mut record = LoadRecord {
+            n: loads.len(),
+            s: loads.iter().map(|l| l.0).sum(),
+            m: BTreeMap::new(),
+        };
+        // From both ends inwards, as far as the value has room: those in between neither give
+        // nor take. A name, a number and what stands between them have 10 bytes to spare here.
+        let mut room = self.settings.value_bytes().saturating_sub(100);
+        let (mut low, mut high) = (0, loads.len());
+        while low < high {
+            let at = if (low + loads.len() - high).is_multiple_of(2) {
+                high -= 1;
+                high
+            } else {
+                low += 1;
+                low - 1
+            };
+            let name = names.name(loads[at].1);
+            let Some(left) = room.checked_sub(name.len() + 14) else {
+                break;
+            };
+            room = left;
+            record.m.insert(name.to_owned(), loads[at].0);
+        }
         let key = load_key(self.my_name());
         let txn = Txn {
             guards: Vec::new(),
-            then: vec![put(&key, &totals, self.permit)],
+            then: vec![put(&key, &record, self.permit)],
         };
-        self.submit(Op::Load, txn, out);
+        self.submit(Op::Load, txn, commits::Payload::default(), out);
     }
 
     /// What is known of a machine now, from its holder.
@@ -481,16 +527,18 @@
             let rt = self.rt.get(&ix)?;
             return Some(MachineInfo {
                 age_ms: rt.heard.map(|h| now.since(h)),
+                obeys: rt.obeys(),
                 recalled: rt.recall_at.is_some(),
-                sick: rt.sick,
+                sick: self.unfit(rt, now),
             });
         }
         let peer = self.peers.get(&grant.host)?;
-        let age = now.since(peer.heard?);
+        let age = now.since(peer.machines_at?);
         let news = peer.machines.get(&ix)?;
         Some(MachineInfo {
             age_ms: news.age_ms.map(|a| a + age),
-            recalled: news.recall_s.is_some(),
+            obeys: news.obeys,
+            recalled: news.recalled,
             sick: news.sick,
         })
     }
@@ -509,20 +557,9 @@
 
     /// Running tasks of a job as far as this controller has heard, for display.
     pub fn running(&self, job: JobIx) -> u32 {
-        let mine = self.rt.values().flat_map(|rt| &rt.legs);
-        let mine = mine
-            .filter(|(t, l)| t.job == job && l.status == LegStatus::Running)
-            .count() as u32;
-        let name = self.view.names.jobs.name(job);
-        let theirs: u32 = self
-            .peers
-            .values()
-            .flat_map(|p| p.machines.values())
-            .flat_map(|m| &m.running)
-            .filter(|(j, _)| j == name)
-            .map(|(_, n)| n)
-            .sum();
-        mine + theirs
+        let mine = self.running.get(&job).copied().unwrap_or(0);
+        let theirs = self.peers.values().filter_map(|p| p.running.get(&job));
+        mine + theirs.sum::<u32>()
     }
 
     /// Room that a team may still use: its limit without everything bound.
@@ -543,10 +580,17 @@
                 if let Some(job) = self.view.jobs.get(&e.task.job)
                     && let Some(r) = room.get_mut(&job.team)
                 {
-                    r.add(&needs_of(job).room, -1.0);
+                    r.add(&job.room(), -1.0);
                 }
             }
         }
+        for (_, e) in self.binding() {
+            if let Some(job) = self.view.jobs.get(&e.task.job)
+                && let Some(r) = room.get_mut(&job.team)
+            {
+                r.add(&job.room(), -1.0);
+            }
+        }
         room
     }
 
@@ -603,11 +647,7 @@
 pub(crate) fn needs_of(job: &Job) -> Needs {
     let s = &job.spec;
     Needs {
-        room: Room {
-            cpus: s.vcpus,
-            gpus: s.gpus,
-            ram: s.ram_gb,
-        },
+        room: job.room(),
         frames: job.frames.clone(),
         zone: job.zone,
         spot: s.loaners,
@@ -620,8 +660,7 @@
 pub(crate) fn put(key: &str, value: &impl serde::Serialize, permit: Option<u64>) -> Change {
     Change::Put {
         put: key.to_owned(),
-        // The records are plain structs with string keys; they always become JSON.
-        v: serde_json::to_value(value).unwrap_or_default(),
+        v: Json::of(value),
         permit,
     }
 }
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -1,6 +1,7 @@
 //! What controllers tell each other, who is heard, and who leads.
 
 use super::*;
+use crate::wire::FleetNews;
 
 impl Core {
     pub(crate) fn silent_ms(&self) -> u64 {
@@ -40,17 +41,31 @@
     /// Whether somebody else that is heard does not hear `host` either.
     ///
     /// Guards against a controller that is itself cut off, yet reaches the state service, and
-    /// would take over everything from peers that are well.
+    /// would take over everything from peers that are well. Where those who miss it are no
+    /// majority of all controllers, the others may sit on the far side of a cut together with it:
+    /// then its totals must be missing from the state service as well.
     pub(crate) fn corroborated(&self, host: HostIx, now: Ms) -> bool {
-        self.others.iter().any(|&h| {
-            h != host
-                && self.hears(h, now)
-                && self.peers.get(&h).is_some_and(|p| {
-                    p.hears
-                        .get(&host)
-                        .is_none_or(|&age| age + 300 > self.silent_ms())
-                })
-        })
+        let heard = || {
+            self.others
+                .iter()
+                .filter(|&&h| h != host && self.hears(h, now))
+        };
+        let misses = |h: &&HostIx| {
+            self.peers.get(*h).is_some_and(|p| {
+                p.hears
+                    .get(&host)
+                    .is_none_or(|&age| age + 300 > self.silent_ms())
+            })
+        };
+        let missing = heard().filter(misses).count();
+        if missing == 0 || missing * 2 < heard().count() {
+            return false;
+        }
+        let signed = self.signs.get(&host).is_some_and(|&at| {
+            let period = (self.settings.options.balance_period_s * 1000.0) as u64;
+            now.since(at) < period + self.silent_ms()
+        });
+        (missing + 1) * 2 > self.others.len() + 1 || !signed
     }
 
     /// The term, while this controller leads.
@@ -106,7 +121,7 @@
             then: vec![put(key, &record, self.permit)],
         };
         info!(before = ?self.view.lead.map(|l| self.view.names.hosts.name(l.host).to_owned()), "asking for the leadership");
-        self.submit(Op::Lead, txn, out);
+        self.submit(Op::Lead, txn, commits::Payload::default(), out);
     }
 
     pub(crate) fn tick_peers(&mut self, now: Ms, out: &mut Vec<Action>) {
@@ -124,7 +139,10 @@
                 *h != host
             });
             if periodic || !agents.is_empty() {
-                let mut news = self.peer_news(now);
+                // The leader needs to know the machines well, the others roughly.
+                let leads = self.view.lead.is_some_and(|l| l.host == host);
+                let long = periodic && (leads || self.peer_turn.is_multiple_of(4));
+                let mut news = self.peer_news(long, now);
                 news.agents = agents;
                 out.push(Action::Peer {
                     host,
@@ -132,17 +150,26 @@
                 });
             }
         }
+        self.peer_turn += u32::from(periodic);
     }
 
-    /// What this controller tells its peers.
-    pub fn peer_news(&mut self, now: Ms) -> PeerNews {
+    /// What this controller tells its peers; a long message tells of its machines.
+    pub fn peer_news(&mut self, long: bool, now: Ms) -> PeerNews {
         self.strays.retain(|_, s| now.since(s.last) < 7000);
         let names = &self.view.names;
-        let mut machines = Vec::new();
-        for (&m, rt) in &self.rt {
-            machines.push(self.machine_news(m, rt, now));
-        }
         let since = |t: Ms| now.since(t);
+        let fleet = long.then(|| FleetNews {
+            machines: self
+                .rt
+                .iter()
+                .map(|(&m, rt)| self.machine_news(m, rt, now))
+                .collect(),
+            running: self
+                .running
+                .iter()
+                .map(|(&j, &n)| (names.jobs.name(j).to_owned(), n))
+                .collect(),
+        });
         PeerNews {
             host: self.my_name().to_owned(),
             boot: self.boot.0,
@@ -152,7 +179,7 @@
                 .iter()
                 .filter_map(|(&h, p)| Some((names.hosts.name(h).to_owned(), since(p.heard?))))
                 .collect(),
-            machines,
+            fleet,
             strays: self.my_strays(now),
             agents: Vec::new(),
             ratios: self
@@ -183,25 +210,23 @@
     }
 
     pub(crate) fn machine_news(&self, m: MachineIx, rt: &Rt, now: Ms) -> MachineNews {
-        let mut running: HashMap<JobIx, u32> = HashMap::new();
-        for (t, l) in &rt.legs {
-            if l.status == LegStatus::Running {
-                *running.entry(t.job).or_default() += 1;
-            }
-        }
         MachineNews {
             rig: self.view.names.machines.name(m).to_owned(),
             age_ms: rt.heard.map(|h| now.since(h)),
-            recall_s: rt.recall_at.map(|r| r.since(now) as f64 / 1000.0),
-            sick: rt.sick,
+            obeys: rt.obeys(),
+            recalled: rt.recall_at.is_some(),
+            sick: self.unfit(rt, now),
             load: self.queue_load(m, now),
-            running: running
-                .into_iter()
-                .map(|(j, n)| (self.view.names.jobs.name(j).to_owned(), n))
-                .collect(),
         }
     }
 
+    /// Whether a machine is to be replaced: it fails what it starts, or has heard nothing of what
+    /// it is told for a whole lease.
+    pub(crate) fn unfit(&self, rt: &Rt, now: Ms) -> bool {
+        let lease = self.settings.worker_gone_ms();
+        rt.sick || rt.deaf.is_some_and(|since| now.since(since) > lease)
+    }
+
     /// What a peer says, in a request or in the answer to one.
     pub fn on_peer(&mut self, news: PeerNews, now: Ms) {
         let Some(host) = self.view.names.hosts.get(&news.host) else {
@@ -216,11 +241,6 @@
             .iter()
             .filter_map(|(h, age)| Some((names.hosts.get(h)?, *age)))
             .collect();
-        let machines = news
-            .machines
-            .into_iter()
-            .filter_map(|m| Some((names.machines.get(&m.rig)?, m)))
-            .collect();
         let fails = news
             .fails
             .iter()
@@ -228,16 +248,24 @@
                 Some((names.jobs.get(j)?, *n, Ms(now.0.saturating_sub(*age))))
             })
             .collect();
-        let peer = PeerRt {
-            heard: Some(now),
-            boot: Some(Boot(news.boot)),
-            state_ok: news.state_ok,
-            hears,
-            machines,
-            strays: news.strays,
-            fails,
-        };
-        self.peers.insert(host, peer);
+        let peer = self.peers.entry(host).or_default();
+        peer.heard = Some(now);
+        peer.boot = Some(Boot(news.boot));
+        peer.state_ok = news.state_ok;
+        peer.hears = hears;
+        peer.strays = news.strays;
+        peer.fails = fails;
+        if let Some(fleet) = news.fleet {
+            let machines = fleet.machines.into_iter();
+            peer.machines = machines
+                .filter_map(|m| Some((names.machines.get(&m.rig)?, m)))
+                .collect();
+            peer.machines_at = Some(now);
+            let running = fleet.running.iter();
+            peer.running = running
+                .filter_map(|(j, n)| Some((names.jobs.get(j)?, *n)))
+                .collect();
+        }
         for (class, ratio) in news.ratios {
             let class = self.view.names.classes.intern(&class);
             // Peers' experience counts until there is some of our own.
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -2,11 +2,30 @@
 
 use super::*;
 
+/// A worker that has waited this long for an answer gives up (PROTOCOL, reports).
+const ANSWER_WAIT_MS: u64 = 4000;
+
+/// Whether a report with a low number comes from a worker that has started anew: the earlier one
+/// has been silent for its whole lease, and this is not the first such report.
+fn starts_anew(rt: &mut Rt, r: &Report, now: Ms) -> bool {
+    let number = (r.shift, r.tally);
+    match rt.low {
+        Some((shift, tally, at)) if number > (shift, tally) && now.since(at) < 30_000 => {
+            now.since(at) >= 400
+        }
+        _ => {
+            rt.low = Some((r.shift, r.tally, now));
+            false
+        }
+    }
+}
+
 impl Core {
     pub(crate) fn stray(&mut self, r: &Report, token: u64, now: Ms) {
         let fresh = StrayRt {
             first: now,
             last: now,
+            newest: (0, 0),
             token,
             frame: r.frame.clone(),
             yard: r.yard.clone(),
@@ -16,6 +35,10 @@
             return;
         }
         let s = self.strays.entry(r.rig.clone()).or_insert(fresh);
+        if (r.shift, r.tally) <= s.newest && now.since(s.last) < 60_000 {
+            return;
+        }
+        s.newest = (r.shift, r.tally);
         if now.since(s.last) > 7000 || s.token != token {
             s.first = now;
             s.token = token;
@@ -63,10 +86,11 @@
                 baton: grant.stamp,
                 orders,
             })
-        } else if rt.lost && newer {
+        } else if rt.lost && (newer || starts_anew(&mut rt, &r, now)) {
             self.revive(ix, &mut rt, &r, grant.stamp, now)
         } else {
-            // A report that was held back on its way: its worker no longer waits for it.
+            // A report that was held back on its way, or a late copy: it renews nothing and
+            // proves nothing, and its worker no longer waits for an answer.
             Reply::Unavailable
         };
         self.rt.insert(ix, rt);
@@ -118,6 +142,7 @@
         let Some(machine) = self.view.machines.get(&ix) else {
             return orders;
         };
+        self.note_hearing(rt, r, now);
         if rt.heard.is_none() {
             info!(
                 rig = r.rig,
@@ -132,18 +157,23 @@
         rt.newest = (r.shift, r.tally);
         rt.heard = Some(now);
         rt.fenced |= r.baton == token.0;
+        // A report proves what is absent once no earlier holder can be obeyed: the machine shows
+        // our token, or every earlier authority and then the worker's lease are over.
+        let sure = rt.fenced || now.since(rt.since) > self.settings.stranger_gone_ms();
         rt.recall_at = r
             .recall_s
             .filter(|s| s.is_finite())
             .map(|s| now.plus((s.max(0.0) * 1000.0) as u64));
         rt.launched.clear();
         let before = std::mem::take(&mut rt.legs);
+        let ends_before = self.ends.get(&ix).map_or(&[][..], Vec::as_slice);
+        let ended_before = |e: &Entry| ends_before.iter().any(|x| x.0 == *e);
         let queue: HashMap<TaskIx, u64> =
             machine.queue.iter().map(|e| (e.task, e.attempt)).collect();
         // The type may be unknown still, after a restart while the cloud is away. Everything the
         // report shows is taken in all the same: what seemed absent could be stolen and run twice.
         let size = self.size(machine);
-        let leaving = machine.leaving || rt.sick || rt.recall_at.is_some();
+        let leaving = machine.leaving || rt.sick || rt.recall_at.is_some() || rt.deaf.is_some();
         let mut used = Room::default();
         let mut new_ends: Vec<(Entry, End)> = Vec::new();
         let mut ratios: Vec<(ClassIx, f64)> = Vec::new();
@@ -152,7 +182,7 @@
             let task = self.view.names.task(&leg.leg);
             let job = task.and_then(|t| self.view.jobs.get(&t.job));
             if let (Some(job), false) = (job, ended) {
-                used.add(&needs_of(job).room, 1.0);
+                used.add(&job.room(), 1.0);
             }
             let listed = task.filter(|t| queue.get(t) == Some(&leg.attempt));
             let Some(task) = listed else {
@@ -193,7 +223,7 @@
                     Some(Cause::Error) => End::Failed,
                     _ => End::Free,
                 };
-                if !self.ended(&entry) {
+                if !ended_before(&entry) {
                     if let (Some(job), End::Done, Some(since), Some(was)) = (job, end, since, was)
                         && was.status == LegStatus::Running
                         && job.spec.ride_s > 0.0
@@ -252,21 +282,21 @@
                 .get(&e.task.job)
                 .filter(|j| j.status == JobStatus::Pending);
             let Some(job) = pending else {
-                if !on_it && rt.fenced {
+                if !on_it && sure && !ended_before(e) {
                     new_ends.push((*e, End::Free));
                 }
                 continue;
             };
-            if on_it || self.reserved.contains(e) || self.ended(e) {
+            if on_it || self.reserved.contains(e) || ended_before(e) {
                 continue;
             }
             if leaving || machine.evict.contains(e) {
-                if rt.fenced {
+                if sure {
                     new_ends.push((*e, End::Free));
                 }
                 continue;
             }
-            let need = needs_of(job).room;
+            let need = job.room();
             if full || !size.is_some_and(|size| need.fits(&size.minus(&used))) {
                 full = true;
                 continue;
@@ -280,6 +310,8 @@
                 attempt: e.attempt,
             });
         }
+        self.count_running(&before, false);
+        self.count_running(&rt.legs, true);
         for (class, ratio) in ratios {
             let r = self.ratios.entry(class).or_insert(ratio.clamp(0.2, 5.0));
             *r += (ratio.clamp(0.2, 5.0) - *r) * 0.05;
@@ -290,8 +322,48 @@
         orders
     }
 
+    /// Finds out whether answers reach a machine whose reports arrive.
+    ///
+    /// A worker that had our answer comes back to us with its very next report and without
+    /// waiting for the answer's time to run out; one that had none goes round the controllers,
+    /// shows no launch, and loses its lease although we answer.
+    fn note_hearing(&self, rt: &mut Rt, r: &Report, now: Ms) {
+        let Some(heard) = rt.heard else { return };
+        let next = r.shift == rt.newest.0 && r.tally == rt.newest.1 + 1;
+        let in_time = now.since(heard) < ANSWER_WAIT_MS;
+        let shown = rt.launched.iter().all(|t| {
+            let leg = self.view.names.leg(*t);
+            r.legs.iter().any(|l| l.leg == leg)
+        });
+        let obeyed = r.baton == rt.token;
+        if next && in_time && shown && obeyed {
+            rt.unheard = 0;
+            rt.heard_again += 1;
+            if rt.heard_again >= 3 && rt.deaf.take().is_some() {
+                info!(rig = r.rig, "answers reach the machine again");
+            }
+            return;
+        }
+        rt.heard_again = 0;
+        let renewed = rt
+            .last_ok
+            .is_some_and(|ok| now.since(ok) < self.settings.worker_gone_ms());
+        if r.shift > rt.newest.0 && renewed {
+            rt.unheard += 2;
+        } else if !shown || !in_time || (!obeyed && rt.last_ok.is_some_and(|ok| ok > rt.since)) {
+            rt.unheard += 1;
+        }
+        if rt.unheard >= 3 && rt.deaf.is_none() {
+            warn!(
+                rig = r.rig,
+                "reports come, but answers do not reach the machine"
+            );
+            rt.deaf = Some(now);
+        }
+    }
+
     pub(crate) fn note_end(&mut self, ix: MachineIx, entry: Entry, end: End, rt: &mut Rt, now: Ms) {
-        self.ends.insert((entry.attempt, entry.task), (ix, end));
+        self.ends.entry(ix).or_default().push((entry, end));
         let job = entry.task.job;
         match end {
             End::Done => {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -3,7 +3,7 @@
 use crate::core::Core;
 use crate::queue::Room;
 use crate::view::{job_key, past_key};
-use crate::wire::{Change, Guard, JobAnswer, JobRecord, JobSpec, JobStatus, Submission, Txn};
+use crate::wire::{Change, Guard, JobAnswer, JobRecord, JobSpec, JobStatus, Json, Submission, Txn};
 use std::collections::{HashMap, VecDeque};
 
 /// Longest name of a job, and of anything else that a user names.
@@ -145,23 +145,23 @@
         }],
         then: vec![Change::Put {
             put: job_key(name),
-            v: serde_json::to_value(&record).unwrap_or_default(),
+            v: Json::of(&record),
             permit: None,
         }],
     }
 }
 
-/// What a user is told of a stored job.
-pub fn answer(name: &str, record: &JobRecord, running: u32) -> JobAnswer {
-    let over = record.st != JobStatus::Pending;
+/// What a user is told of a job whose key shows a state, and of which so many tasks are done.
+pub fn answer(name: &str, state: JobStatus, done: u32, running: u32) -> JobAnswer {
+    let over = state != JobStatus::Pending;
     let running = if over { 0 } else { running };
     JobAnswer {
         name: name.to_owned(),
-        status: match record.st {
+        status: match state {
             JobStatus::Pending if running > 0 => JobStatus::Running,
             st => st,
         },
-        done: Some(record.d.len()),
+        done: Some(done),
         running: Some(running),
     }
 }
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Most tasks that a job which has waited long is given at once.
+const FLOOR_TASKS: usize = 16;
+
 impl Core {
     /// Seconds until the rest of a job must be begun to be done in time. Without a deadline of
     /// its own, the time that the operators' objectives give its class counts. Second, the
@@ -78,39 +81,60 @@
         now.since(last) < wait
     }
 
-    pub(crate) fn plan_bindings(&mut self, now: Ms) -> Option<Txn> {
-        if now < self.lead.next_bind && self.lead.bind_version == self.view.version {
-            return None;
+    /// Whether a job has waited so long that it is served ahead of its turn: nothing was begun, or
+    /// nothing more was, for a while in which others were.
+    ///
+    /// Guards against the order of jobs: whatever stands behind a stream of more pressing work,
+    /// or is late beyond help, would not begin before the stream ends.
+    fn waits_long(&self, ix: JobIx, job: &Job, now: Ms) -> Option<f64> {
+        let age = self.day_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
+        let since = match self.lead.served.get(&ix) {
+            Some(&at) => now.since(at) as f64 / 1000.0,
+            None if job.done.is_empty() && self.view.bound_len(ix) == 0 => age,
+            None => age.min(now.since(self.lead.since) as f64 / 1000.0),
+        };
+        (since > self.settings.options.queue_floor_s).then_some(since)
+    }
+
+    /// Chooses queues for unbound tasks, most pressing jobs first, and tasks to be stopped.
+    pub(crate) fn plan_bindings(&mut self, now: Ms) -> BindPlan {
+        let mut plan = BindPlan::default();
+        if now < self.lead.next_bind {
+            return plan;
         }
-        self.lead.next_bind = now.plus(200);
-        self.lead.bind_version = self.view.version;
+        // The larger the world, the more a look at it costs and the less hangs on each task.
+        let pause = 200 + (self.view.machines.len() + self.view.jobs.len()) as u64 / 2;
+        self.lead.next_bind = now.plus(pause);
         let mut slots = self.slots(now);
         if slots.is_empty() {
-            return None;
+            return plan;
+        }
+        let mut underway: HashMap<JobIx, Vec<u32>> = HashMap::new();
+        for (_, e) in self.binding() {
+            underway.entry(e.task.job).or_default().push(e.task.leg);
         }
-        let bound = self.view.bound();
-        let mut zones = self.zones_of();
         let mut teams = self.team_room();
         let guarantee: HashMap<_, _> = self.guaranteed_left();
-        let ranks: HashMap<JobIx, (u8, f64)> = self
-            .view
-            .jobs
-            .iter()
-            .map(|(&ix, job)| (ix, self.rank(job)))
-            .collect();
         let mut order: Vec<(u8, bool, f64, JobIx)> = Vec::new();
+        let mut waiting: Option<(f64, JobIx)> = None;
         for (&ix, job) in &self.view.jobs {
-            let open = bound.get(&ix).map_or(0, RangeSet::len) + job.done.len();
-            if job.status != JobStatus::Pending || open >= job.spec.legs {
+            if job.status != JobStatus::Pending {
                 continue;
             }
-            if self.held_back(ix, now) {
+            let coming = underway.get(&ix).map_or(0, Vec::len) as u32;
+            let open = self.view.bound_len(ix) + coming + job.done.len();
+            if open >= job.spec.legs || self.held_back(ix, now) {
                 continue;
             }
+            if let Some(since) = self.waits_long(ix, job, now)
+                && waiting.is_none_or(|w| since > w.0)
+            {
+                waiting = Some((since, ix));
+            }
             let beyond = guarantee
                 .get(&job.team)
                 .is_none_or(|g| job.spec.vcpus > g + 1e-6);
-            let (tier, slack) = ranks[&ix];
+            let (tier, slack) = self.rank(job);
             order.push((tier, beyond, slack, ix));
         }
         order.sort_by(|a, b| {
@@ -119,26 +143,45 @@
                 .then(a.2.total_cmp(&b.2))
                 .then(a.3.cmp(&b.3))
         });
+        let mut zones: Option<HashMap<JobIx, HashMap<ZoneIx, u32>>> = None;
         let most_open = self.settings.open_tasks();
         let mut jobs: Vec<Candidate> = Vec::new();
-        for &(_, _, _, ix) in order.iter().take(200) {
+        let first = waiting.map(|w| w.1);
+        let rest = order.iter().map(|o| o.3).filter(|ix| Some(*ix) != first);
+        for ix in first.into_iter().chain(rest).take(200) {
             let job = &self.view.jobs[&ix];
             let mut taken = job.done.clone();
-            if let Some(b) = bound.get(&ix) {
-                taken.union(b);
+            for leg in self.view.bound(ix) {
+                taken.insert(leg);
+            }
+            for &leg in underway.get(&ix).into_iter().flatten() {
+                taken.insert(leg);
             }
             // Open tasks below the highest bound one are what fragments the done ranges.
-            let open = bound.get(&ix).map_or(0, RangeSet::len) as usize + taken.fragments();
-            let most = most_open.saturating_sub(open).min(128);
+            let open = (taken.len() - job.done.len()) as usize + taken.fragments();
+            let mut most = most_open.saturating_sub(open).min(128);
+            if Some(ix) == first {
+                // A share that begins the job and does not hold up the others for long.
+                most = most.min((job.spec.legs as usize / 8).clamp(1, FLOOR_TASKS));
+            }
+            let needs = needs_of(job);
+            let placed = needs.same_place || needs.zone_most.is_some();
+            let zones = match placed {
+                true => {
+                    let all = zones.get_or_insert_with(|| self.zones_of());
+                    all.remove(&ix).unwrap_or_default()
+                }
+                false => HashMap::new(),
+            };
             jobs.push(Candidate {
                 job: ix,
                 team: job.team,
                 image: job.image,
                 image_gb: job.spec.size_gb,
-                needs: needs_of(job),
+                needs,
                 run_s: self.run_s(job),
                 tasks: taken.gaps(job.spec.legs).take(most).collect(),
-                zones: zones.remove(&ix).unwrap_or_default(),
+                zones,
             });
         }
         let limits = Limits {
@@ -146,94 +189,14 @@
             sample: self.settings.options.queue_sample as usize,
             most: 300,
         };
-        let mut plan = queue::plan(&mut slots, &mut jobs, &mut teams, limits, &mut self.rng);
-        let mut evict = self.plan_evictions(&jobs, &teams, &ranks);
-        if plan.is_empty() && evict.is_empty() {
-            return None;
-        }
-        // An attempt is numbered by the revision at which it is bound: unbinding comes at a
-        // later one, so attempts of a task only grow.
-        let attempt = self.view.latest();
-        let ops = self.settings.platform.settings.state.txn_ops;
-        loop {
-            let mut add: BTreeMap<MachineIx, Vec<Entry>> = BTreeMap::new();
-            for b in &plan {
-                let task = TaskIx {
-                    job: b.job,
-                    leg: b.leg,
-                };
-                add.entry(b.machine)
-                    .or_default()
-                    .push(Entry { task, attempt });
-            }
-            let blocks: BTreeSet<BlockId> = add
-                .keys()
-                .chain(evict.keys())
-                .filter_map(|m| Some(self.view.machines.get(m)?.block))
-                .take(ops)
-                .collect();
-            let mut edits = BTreeMap::new();
-            let mut total = 0;
-            let mut over = None;
-            for id in blocks {
-                let mut record = self.view.block_record(id, |ix, m| {
-                    let new = add.get(&ix).map_or(&[][..], Vec::as_slice);
-                    m.queue.iter().chain(new).copied().collect()
-                });
-                for (&ix, entries) in &evict {
-                    let name = self.view.names.machines.name(ix);
-                    if let Some(m) = record.m.get_mut(name) {
-                        m.p.extend(self.view.group(entries));
-                    }
-                }
-                let size = serde_json::to_string(&record).map_or(0, |s| s.len());
-                total += size;
-                if size > self.settings.value_bytes() || total > 56_000 {
-                    over = Some(id);
-                }
-                edits.insert(id, record);
-            }
-            let Some(id) = over else {
-                for b in &plan {
-                    debug!(
-                        leg = format!("{}/{}", self.view.names.jobs.name(b.job), b.leg),
-                        rig = self.view.names.machines.name(b.machine),
-                        attempt,
-                        "binding"
-                    );
-                }
-                self.counters.bound += plan.len() as u64;
-                for (&ix, entries) in &evict {
-                    self.counters.evicted += entries.len() as u64;
-                    let rig = self.view.names.machines.name(ix);
-                    info!(
-                        rig,
-                        tasks = entries.len(),
-                        "stopping tasks for more pressing ones"
-                    );
-                }
-                return self.edit_blocks(edits);
-            };
-            // Too much for one value: the block gets half as many new tasks this time.
-            let of_block = |b: &queue::Binding| {
-                self.view
-                    .machines
-                    .get(&b.machine)
-                    .is_some_and(|m| m.block == id)
-            };
-            evict.clear();
-            let keep = plan.iter().filter(|b| of_block(b)).count() / 2;
-            let mut seen = 0;
-            plan.retain(|b| {
-                let of = of_block(b);
-                seen += usize::from(of);
-                !of || seen <= keep
-            });
-            if plan.is_empty() {
-                warn!(block = id.0, "a block's value is full");
-                return None;
+        plan.bindings = queue::plan(&mut slots, &mut jobs, &mut teams, limits, &mut self.rng);
+        if now >= self.lead.next_evict {
+            plan.evict = self.plan_evictions(&jobs, &teams);
+            if !plan.evict.is_empty() {
+                self.lead.next_evict = now.plus(pause);
             }
         }
+        plan
     }
 
     /// CPUs that each team may still use within its guarantee.
--- a/src/leader/grants.rs
+++ b/src/leader/grants.rs
@@ -145,7 +145,11 @@
     }
 
     /// Blocks whose machines report to somebody else because their holder does not answer them.
+    ///
+    /// A single machine of many says nothing of its holder: one that hears no answers at all goes
+    /// round all controllers, whoever holds its block.
     pub(crate) fn misled_blocks(&self, now: Ms) -> HashMap<BlockId, HostIx> {
+        let mut found: BTreeMap<(BlockId, HostIx), HashSet<MachineIx>> = BTreeMap::new();
         let mut out = HashMap::new();
         if !self.listened(now) {
             return out;
@@ -168,7 +172,22 @@
             };
             let age = self.machine_info(m, now).and_then(|i| i.age_ms);
             if grant.host != host && age.is_none_or(|a| a > 4500) {
-                out.entry(block).or_insert(host);
+                found.entry((block, host)).or_default().insert(m);
+            }
+        }
+        let mut by_block: BTreeMap<BlockId, (usize, usize, HostIx)> = BTreeMap::new();
+        for ((block, host), machines) in found {
+            let n = machines.len();
+            let all = by_block.entry(block).or_insert((0, 0, host));
+            all.0 += n;
+            if n > all.1 {
+                (all.1, all.2) = (n, host);
+            }
+        }
+        for (block, (misled, _, host)) in by_block {
+            let machines = self.view.blocks.get(&block).map_or(0, |b| b.machines.len());
+            if misled >= machines.div_ceil(3).max(2).min(machines) {
+                out.insert(block, host);
             }
         }
         out
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -49,145 +49,45 @@
         lead.removed.retain(|_, t| now.since(*t) < 120_000);
     }
 
-    /// Puts new machines into blocks, marks those that leave, and drops those that are gone.
-    pub(crate) fn plan_machines(&mut self, now: Ms) -> Option<Txn> {
-        let mut unknown: Vec<crate::wire::Stray> = self.my_strays(now);
-        unknown.extend(self.peers.values().flat_map(|p| p.strays.clone()));
-        for s in unknown {
-            let known = self.view.names.machines.get(&s.rig);
-            let listed = known.is_some_and(|m| self.view.machines.contains_key(&m));
-            if !listed && !self.lead.removed.contains_key(&s.rig) {
-                let record = new_machine(&s.frame, &s.yard, s.loaners);
-                self.lead.place.entry(s.rig).or_insert(record);
-            }
-        }
-        let names = &self.view.names.machines;
-        let machines = &self.view.machines;
-        self.lead
-            .place
-            .retain(|name, _| names.get(name).is_none_or(|m| !machines.contains_key(&m)));
-        let mut edits: BTreeMap<BlockId, BlockRecord> = BTreeMap::new();
-        let most = self.settings.platform.settings.state.txn_ops;
-        let record = |core: &Core, id| core.view.block_record(id, |_, m| m.queue.clone());
-        for &ix in &self.lead.gone {
-            let Some(m) = self.view.machines.get(&ix) else {
-                continue;
-            };
-            if edits.len() >= most && !edits.contains_key(&m.block) {
-                continue;
-            }
-            let r = edits
-                .entry(m.block)
-                .or_insert_with(|| record(self, m.block));
-            let name = self.view.names.machines.name(ix).to_owned();
-            info!(rig = name, tasks = m.queue.len(), "machine is gone");
-            r.m.remove(&name);
-            self.lead.removed.insert(name, now);
-        }
-        for &ix in &self.lead.leave {
-            let Some(m) = self.view.machines.get(&ix) else {
-                continue;
-            };
-            if m.leaving || (edits.len() >= most && !edits.contains_key(&m.block)) {
-                continue;
-            }
-            let r = edits
-                .entry(m.block)
-                .or_insert_with(|| record(self, m.block));
-            let name = self.view.names.machines.name(ix);
-            if let Some(entry) = r.m.get_mut(name) {
-                info!(rig = name, "machine is to leave");
-                entry.x = true;
-            }
-        }
-        let per_block = self.settings.block_machines();
-        let place: Vec<(String, MachineRecord)> = self
-            .lead
-            .place
-            .iter()
-            .map(|(n, r)| (n.clone(), r.clone()))
-            .collect();
-        for (name, machine) in place {
-            let mut sizes: Vec<(usize, BlockId)> = self
-                .view
-                .blocks
-                .iter()
-                .map(|(&id, b)| (edits.get(&id).map_or(b.machines.len(), |r| r.m.len()), id))
-                .collect();
-            sizes.extend(
-                edits
-                    .iter()
-                    .filter(|(id, _)| !self.view.blocks.contains_key(id))
-                    .map(|(&id, r)| (r.m.len(), id)),
-            );
-            sizes.sort();
-            let nodes = self.settings.platform.settings.count.max(1);
-            let free = (0..)
-                .map(BlockId)
-                .find(|id| !sizes.iter().any(|s| s.1 == *id))?;
-            let id = match sizes.first() {
-                Some(&(n, id)) if n < per_block && (sizes.len() >= nodes || n == 0) => id,
-                _ => free,
-            };
-            if edits.len() >= most && !edits.contains_key(&id) {
-                break;
-            }
-            let r = edits.entry(id).or_insert_with(|| record(self, id));
-            info!(
-                rig = name,
-                block = id.0,
-                frame = machine.f,
-                zone = machine.y,
-                spot = machine.l,
-                "machine joins"
-            );
-            r.m.insert(name, machine);
-        }
-        self.edit_blocks(edits)
-    }
-
-    pub(crate) fn edit_blocks(&self, edits: BTreeMap<BlockId, BlockRecord>) -> Option<Txn> {
-        if edits.is_empty() {
-            return None;
-        }
-        let mut txn = Txn::default();
-        for (id, record) in edits {
-            let key = block_key(id);
-            txn.guards.push(self.guard(&key));
-            txn.then.push(put(&key, &record, None));
-        }
-        Some(txn)
-    }
-
     /// Whether tasks may be bound to a machine now.
     pub(crate) fn available(&self, ix: MachineIx, now: Ms) -> bool {
         let fresh = (self.settings.platform.settings.workers.report_s * 2000.0) as u64 + 500;
         self.view.machines.get(&ix).is_some_and(|m| !m.leaving)
             && !self.lead.gone.contains(&ix)
             && !self.lead.leave.contains(&ix)
-            && self
-                .machine_info(ix, now)
-                .is_some_and(|i| i.age_ms.is_some_and(|a| a < fresh) && !i.recalled && !i.sick)
+            && self.machine_info(ix, now).is_some_and(|i| {
+                i.obeys && i.age_ms.is_some_and(|a| a < fresh) && !i.recalled && !i.sick
+            })
     }
 
+    /// Machines that may take tasks now, if their blocks can be written.
     pub(crate) fn slots(&self, now: Ms) -> Vec<Slot> {
+        let open = self.open_blocks(now);
+        let mut coming: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
+        for (m, e) in self.binding() {
+            coming.entry(*m).or_default().push(*e);
+        }
         let mut slots = Vec::new();
         for ix in self.view.machines_sorted() {
             let m = &self.view.machines[&ix];
             let (Some(size), Some(frame)) = (self.size(m), self.frames.get(&m.frame)) else {
                 continue;
             };
-            if !self.available(ix, now) || self.lead.closed.contains(&ix) {
+            if !open.contains(&m.block)
+                || self.lead.closed.contains(&ix)
+                || !self.available(ix, now)
+            {
                 continue;
             }
             let warm = self.lead.warm.get(&ix);
+            let coming = coming.get(&ix).map_or(&[][..], Vec::as_slice);
             slots.push(Slot {
                 machine: ix,
                 frame: m.frame,
                 zone: m.zone,
                 spot: m.spot,
                 size,
-                used: self.used(ix),
+                used: self.used(m.queue.iter().chain(coming)),
                 load: self.known_load(ix, now),
                 fetch_gb_per_s: frame.fetch_gb_per_s,
                 warm: warm
@@ -198,16 +98,23 @@
         slots
     }
 
-    pub(crate) fn used(&self, ix: MachineIx) -> Room {
+    /// Room that tasks take.
+    pub(crate) fn used<'a>(&self, entries: impl Iterator<Item = &'a Entry>) -> Room {
         let mut used = Room::default();
-        for e in self.view.machines.get(&ix).map_or(&[][..], |m| &m.queue) {
+        for e in entries {
             if let Some(job) = self.view.jobs.get(&e.task.job) {
-                used.add(&needs_of(job).room, 1.0);
+                used.add(&job.room(), 1.0);
             }
         }
         used
     }
 
+    /// Room that a machine's bound tasks take.
+    pub(crate) fn used_on(&self, ix: MachineIx) -> Room {
+        let queue = self.view.machines.get(&ix).map(|m| m.queue.iter());
+        self.used(queue.into_iter().flatten())
+    }
+
     /// Whether a machine is better returned than waited for: the answer to the return proves
     /// that it and everything on it are gone.
     pub(crate) fn is_dead(&self, ix: MachineIx, now: Ms) -> bool {
@@ -241,7 +148,11 @@
         let held_for = granted.map_or(0, |g| now.since(g.1));
         match self.lead.heard.get(&ix).map(|&at| now.since(at)) {
             Some(age) => {
-                (age > lost && held_for > lost) || (missing && age > self.settings.worker_gone_ms())
+                // An earlier holder that is cut off from all but its workers may still be
+                // answering this machine, for as long as its authority lasts.
+                let patience = self.settings.stranger_gone_ms() + 2000;
+                (age > lost && held_for > patience)
+                    || (missing && age > self.settings.worker_gone_ms())
             }
             None => {
                 let held = listed.map_or(seen, |l| now.since(l.rented_at));
@@ -289,18 +200,50 @@
         })
     }
 
-    /// Moves jobs that are over out of the watched part.
+    /// Records the end of jobs whose tasks are all done. Blocks show that first, and what is done
+    /// stays done: the job's own key decides between this and a cancellation.
+    pub(crate) fn plan_finish(&mut self) -> Option<Txn> {
+        let most = self.settings.platform.settings.state.txn_ops;
+        let mut txn = Txn::default();
+        let mut size = 0;
+        let over = self
+            .view
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.status == JobStatus::Pending && j.done.len() >= j.spec.legs);
+        for (&ix, _) in over.take(most) {
+            let Some(change) = self.job_change(ix, &RangeSet::new()) else {
+                continue;
+            };
+            if let Change::Put { put, v, .. } = &change {
+                size += v.size() + 100;
+                if size > 50_000 {
+                    break;
+                }
+                txn.guards.push(self.guard(put));
+            }
+            txn.then.push(change);
+        }
+        (!txn.then.is_empty()).then_some(txn)
+    }
+
+    /// Moves jobs that are over out of the watched part, while the budget is not needed for more.
     pub(crate) fn plan_archive(&mut self, now: Ms) -> Option<Txn> {
-        if now < self.lead.next_archive {
+        if now < self.lead.next_archive || self.refused_lately(now) {
             return None;
         }
         self.lead.next_archive = now.plus(4000);
         let most = (self.settings.platform.settings.state.txn_ops / 2).min(4);
+        let binding: HashSet<JobIx> = self.binding().map(|b| b.1.task.job).collect();
         let over: Vec<JobIx> = self
             .view
             .jobs
             .iter()
-            .filter(|(ix, j)| j.status != JobStatus::Pending && !self.view.is_bound(**ix))
+            .filter(|(ix, j)| {
+                j.status != JobStatus::Pending
+                    && !self.view.is_mentioned(**ix)
+                    && !binding.contains(*ix)
+            })
             // The watch has passed it: no older change can bring the job back after its drop.
             .filter(|(_, j)| j.stamp <= self.view.ledger)
             .map(|(&ix, _)| ix)
@@ -315,7 +258,7 @@
             let name = self.view.names.jobs.name(ix);
             let key = job_key(name);
             txn.guards.push(self.guard(&key));
-            let record = job.record(job.done.clone(), job.status);
+            let record = job.record(job.stored.clone(), job.status);
             txn.then.push(put(&past_key(name), &record, None));
             txn.then.push(Change::Drop { drop: key });
         }
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -2,6 +2,7 @@
 //! PackStealLB, which every holder runs for its own machines.
 
 mod binding;
+mod edits;
 mod grants;
 mod machines;
 mod preemption;
@@ -10,6 +11,7 @@
 
 use crate::balance::{self, Factors, Levels, Pack, Role};
 use crate::clock::Ms;
+use crate::core::commits::Payload;
 use crate::core::{Action, Core, Move, Op, needs_of, put};
 use crate::fleet::{self, Demand, Offer, Rented, Rules};
 use crate::names::{FrameIx, HostIx, ImageIx, Index, JobIx, MachineIx, TeamIx, ZoneIx};
@@ -18,13 +20,10 @@
 use crate::view::{
     BlockId, CATALOG, Entry, Job, LEAD, TaskIx, Term, block_key, grant_key, job_key, past_key,
 };
-use crate::wire::{
-    Agent, BlockRecord, Change, Frame, JobStatus, ListedRig, MachineRecord, OwnerRecord, Rental,
-    Txn, Urgency,
-};
+use crate::wire::{Agent, Change, Frame, JobStatus, ListedRig, OwnerRecord, Rental, Txn, Urgency};
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 
 /// Shortest time that the cloud charges a machine for (PROTOCOL, catalog).
 const LEAST_CHARGE_S: f64 = 60.0;
@@ -53,7 +52,7 @@
     /// Lists in a row that did not show a machine of ours.
     absent: HashMap<MachineIx, u32>,
     /// Machines to be put into blocks.
-    place: BTreeMap<String, MachineRecord>,
+    place: BTreeMap<String, NewMachine>,
     refused: HashMap<(FrameIx, ZoneIx, bool), Ms>,
     renting: HashMap<String, (Rental, Ms)>,
     returning: bool,
@@ -65,11 +64,14 @@
     idle_since: HashMap<MachineIx, Ms>,
     first_seen: HashMap<MachineIx, Ms>,
     bookings: u64,
+    next_notes: Ms,
     next_fleet: Ms,
     next_archive: Ms,
     next_even: Ms,
     next_bind: Ms,
-    bind_version: u64,
+    next_evict: Ms,
+    /// When a task of a job was last bound in this term.
+    served: HashMap<JobIx, Ms>,
     leave: BTreeSet<MachineIx>,
     /// Machines that take no new tasks, for the others suffice.
     closed: HashSet<MachineIx>,
@@ -84,13 +86,21 @@
 /// A round of balancing.
 #[derive(Debug, Clone)]
 struct Round {
-    levels: Levels,
     loads: HashMap<MachineIx, f64>,
     packs: HashMap<MachineIx, Vec<Pack<Entry>>>,
     steals: HashMap<MachineIx, u32>,
+    /// Machines known to be heavy, the heaviest first.
+    victims: Vec<(MachineIx, f64)>,
+    /// All machines, for steals that go anywhere.
+    all: Vec<(MachineIx, f64)>,
 }
 
 impl LeadRt {
+    /// Forgets jobs whose indices may come back as other jobs.
+    pub(crate) fn forget_jobs(&mut self, released: &HashSet<JobIx>) {
+        self.served.retain(|j, _| !released.contains(j));
+    }
+
     /// For how long the leader has been `gone` without a break, ms.
     pub(crate) fn lead_lost_for(&mut self, gone: bool, now: Ms) -> Option<u64> {
         if !gone {
@@ -125,21 +135,23 @@
                 ..LeadRt::default()
             };
         }
-        self.note_machines(now);
-        self.tick_cloud(now, term, out);
-        if !self.idle(Op::Leader, now) {
-            return;
+        if now >= self.lead.next_notes {
+            self.lead.next_notes = now.plus(400);
+            self.note_machines(now);
         }
-        let txn = self
-            .plan_grants(now)
-            .or_else(|| self.plan_machines(now))
-            .or_else(|| self.plan_bindings(now))
-            .or_else(|| self.plan_archive(now))
-            .or_else(|| self.plan_catalog());
-        if let Some(mut txn) = txn {
-            txn.guards.push(self.guard(LEAD));
-            self.submit(Op::Leader, txn, out);
+        self.tick_cloud(now, term, out);
+        if self.idle(Op::Leader, now) {
+            let txn = self
+                .plan_grants(now)
+                .or_else(|| self.plan_finish())
+                .or_else(|| self.plan_archive(now))
+                .or_else(|| self.plan_catalog());
+            if let Some(mut txn) = txn {
+                txn.guards.push(self.guard(LEAD));
+                self.submit(Op::Leader, txn, Payload::default(), out);
+            }
         }
+        self.plan_edits(now, out);
     }
 
     /// Number of tasks on a machine as its last report to this controller shows.
@@ -148,13 +160,17 @@
     }
 }
 
-fn new_machine(frame: &str, zone: &str, spot: bool) -> MachineRecord {
-    MachineRecord {
-        f: frame.to_owned(),
-        y: zone.to_owned(),
-        l: spot,
-        x: false,
-        q: Vec::new(),
-        p: Vec::new(),
-    }
+/// A machine that is to be put into a block.
+#[derive(Debug, Clone, PartialEq)]
+struct NewMachine {
+    frame: String,
+    zone: String,
+    spot: bool,
+}
+
+/// Tasks to be bound, and tasks to be stopped for them.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct BindPlan {
+    bindings: Vec<queue::Binding>,
+    evict: HashMap<MachineIx, Vec<Entry>>,
 }
--- a/src/leader/preemption.rs
+++ b/src/leader/preemption.rs
@@ -11,10 +11,23 @@
         &self,
         blocked: &[Candidate],
         teams: &HashMap<TeamIx, Room>,
-        ranks: &HashMap<JobIx, (u8, f64)>,
     ) -> HashMap<MachineIx, Vec<Entry>> {
         let mut out: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
-        let mut left = self.settings.options.evict_cpus;
+        let pressing: Vec<(&Candidate, &Job, f64)> = blocked
+            .iter()
+            .filter(|c| !c.tasks.is_empty())
+            .filter_map(|c| Some((c, self.view.jobs.get(&c.job)?)))
+            .map(|(c, job)| (c, job, self.rank(job)))
+            .filter(|(_, _, rank)| rank.0 <= 2 && rank.1 <= 60.0)
+            .map(|(c, job, rank)| (c, job, rank.1))
+            .take(PRESSING)
+            .collect();
+        if pressing.is_empty() {
+            return out;
+        }
+        let mut victims = self.evictable();
+        let size: f64 = victims.iter().map(|v| v.cpus).sum();
+        let mut left = self.settings.options.evict_cpus.max(size * 0.1);
         // What was marked before comes free soon and is not asked for again.
         let mut coming: HashMap<TeamIx, f64> = HashMap::new();
         let mut coming_all = 0.0;
@@ -26,13 +39,9 @@
                 }
             }
         }
-        for c in blocked.iter().filter(|c| !c.tasks.is_empty()) {
-            let Some(job) = self.view.jobs.get(&c.job) else {
-                continue;
-            };
-            let (tier, slack) = ranks[&c.job];
-            if tier > 2 || slack > 60.0 || left <= 0.0 {
-                continue;
+        for (c, job, slack) in pressing {
+            if left <= 0.0 || victims.is_empty() {
+                break;
             }
             let cpus = c.needs.room.cpus.max(1e-3);
             let room = teams.get(&c.team).map_or(0.0, |t| t.cpus);
@@ -53,43 +62,85 @@
                 coming_all -= used;
                 wanted.min(room) - used
             };
-            let mut victims: Vec<(f64, MachineIx, Entry, f64)> = Vec::new();
-            for (&ix, m) in &self.view.machines {
-                let suits = self
-                    .size(m)
-                    .is_some_and(|size| c.needs.suits(m.frame, m.zone, m.spot, &size));
-                if m.leaving || (!by_team && !suits) {
-                    continue;
+            victims.retain(|v| {
+                let suits = || {
+                    self.view.machines.get(&v.machine).is_some_and(|m| {
+                        self.size(m)
+                            .is_some_and(|size| c.needs.suits(m.frame, m.zone, m.spot, &size))
+                    })
+                };
+                let may = missing > 1e-6
+                    && left > 0.0
+                    && v.urgency > job.spec.urgency
+                    && (v.tier > 2 || v.slack > slack.max(0.0) + 30.0 + 0.5 * v.run_s)
+                    && if by_team { v.team == c.team } else { suits() };
+                if may {
+                    missing -= v.cpus;
+                    left -= v.cpus;
+                    out.entry(v.machine).or_default().push(v.entry);
                 }
-                for e in &m.queue {
-                    let Some(v) = self.view.jobs.get(&e.task.job) else {
-                        continue;
-                    };
-                    let (v_tier, v_slack) = ranks[&e.task.job];
+                !may
+            });
+        }
+        out
+    }
+
+    /// Tasks that may be stopped at all, those whose jobs have most time left first.
+    fn evictable(&self) -> Vec<Victim> {
+        let mut ranks: HashMap<JobIx, Option<Victim>> = HashMap::new();
+        let mut victims: Vec<Victim> = Vec::new();
+        for (&machine, m) in self.view.machines.iter().filter(|m| !m.1.leaving) {
+            for e in m.queue.iter().filter(|e| !m.evict.contains(e)) {
+                let of_job = ranks.entry(e.task.job).or_insert_with(|| {
+                    let job = self.view.jobs.get(&e.task.job)?;
+                    let run_s = self.run_s(job);
                     // Long tasks decide when everything is done: they run through.
-                    let v_run = self.run_s(v);
-                    let may = v.spec.urgency > job.spec.urgency
-                        && v_run < 60.0
-                        && v.spec.waypoint_s > 0.0
-                        && (!by_team || v.team == c.team)
-                        && (v_tier > 2 || v_slack > slack.max(0.0) + 30.0 + 0.5 * v_run)
-                        && !m.evict.contains(e)
-                        && !out.get(&ix).is_some_and(|v| v.contains(e));
-                    if may {
-                        victims.push((v_slack, ix, *e, v.spec.vcpus));
+                    if run_s >= 60.0 || job.spec.waypoint_s <= 0.0 {
+                        return None;
                     }
+                    let (tier, slack) = self.rank(job);
+                    Some(Victim {
+                        machine,
+                        entry: *e,
+                        team: job.team,
+                        urgency: job.spec.urgency,
+                        cpus: job.spec.vcpus,
+                        run_s,
+                        tier,
+                        slack,
+                    })
+                });
+                if let Some(v) = of_job {
+                    victims.push(Victim {
+                        machine,
+                        entry: *e,
+                        ..*v
+                    });
                 }
             }
-            victims.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.2.attempt.cmp(&a.2.attempt)));
-            for (_, ix, e, cpus) in victims {
-                if missing <= 1e-6 || left <= 0.0 {
-                    break;
-                }
-                missing -= cpus;
-                left -= cpus;
-                out.entry(ix).or_default().push(e);
-            }
         }
-        out
+        victims.sort_by(|a, b| {
+            b.slack
+                .total_cmp(&a.slack)
+                .then(b.entry.attempt.cmp(&a.entry.attempt))
+                .then(a.entry.task.cmp(&b.entry.task))
+        });
+        victims
     }
 }
+
+/// Jobs for which tasks may be stopped at a time.
+const PRESSING: usize = 30;
+
+/// A task that may be stopped.
+#[derive(Clone, Copy)]
+struct Victim {
+    machine: MachineIx,
+    entry: Entry,
+    team: TeamIx,
+    urgency: Urgency,
+    cpus: f64,
+    run_s: f64,
+    tier: u8,
+    slack: f64,
+}
--- a/src/leader/renting.rs
+++ b/src/leader/renting.rs
@@ -125,7 +125,7 @@
         let up: Vec<(Rented, f64)> = fleet
             .iter()
             .filter(|m| self.available(m.machine, now))
-            .map(|m| (m.clone(), self.used(m.machine).cpus))
+            .map(|m| (m.clone(), self.used_on(m.machine).cpus))
             .collect();
         self.lead.closed = fleet::close(demand, &up, rules).into_iter().collect();
         if now < self.lead.next_consolidation {
@@ -163,7 +163,11 @@
     /// The fleet together with what is on its way: asked for, or rented and not yet in a block.
     /// Asking for all zones at once must not ask for the same need again and again.
     pub(crate) fn with_coming(&self, mut fleet: Vec<Rented>) -> Vec<Rented> {
-        let placed = self.lead.place.values().map(|r| (&r.f, &r.y, r.l, 1));
+        let placed = self
+            .lead
+            .place
+            .values()
+            .map(|r| (&r.frame, &r.zone, r.spot, 1));
         let asked = self
             .lead
             .renting
@@ -310,7 +314,11 @@
                 // Rented by an earlier leader, or late: it is used or goes back in time.
                 None => {
                     if !self.lead.removed.contains_key(&rig.name) {
-                        let record = new_machine(&rig.frame, &rig.yard, rig.loaners);
+                        let record = NewMachine {
+                            frame: rig.frame,
+                            zone: rig.yard,
+                            spot: rig.loaners,
+                        };
                         self.lead.place.entry(rig.name).or_insert(record);
                     }
                 }
@@ -357,7 +365,11 @@
         }
         self.lead.next_fleet = now;
         for name in got {
-            let record = new_machine(&rental.frame, &rental.yard, rental.loaners);
+            let record = NewMachine {
+                frame: rental.frame.clone(),
+                zone: rental.yard.clone(),
+                spot: rental.loaners,
+            };
             self.lead.place.insert(name, record);
         }
     }
--- a/src/leader/rounds.rs
+++ b/src/leader/rounds.rs
@@ -22,29 +22,44 @@
         self.next_round = now.plus(period);
         self.publish_loads(now, out);
         let mut loads: HashMap<MachineIx, f64> = HashMap::new();
+        // The mean goes over everybody's totals, also of machines that are not named.
+        let (mut count, mut sum) = (0, 0.0);
         for (host, totals) in &self.view.loads {
-            for (&m, &l) in totals {
+            if *host == self.me {
+                continue;
+            }
+            count += totals.count;
+            sum += totals.sum;
+            for (&m, &l) in &totals.machines {
                 let held = self.view.holder(m).is_some_and(|(_, g)| g.host == *host);
-                if *host != self.me && held && self.available(m, now) {
+                if held && self.available(m, now) {
                     loads.insert(m, l);
                 }
             }
         }
         let mine: Vec<MachineIx> = self.rt.keys().copied().collect();
         for &m in &mine {
+            let load = self.queue_load(m, now);
+            count += 1;
+            sum += load;
             if self.available(m, now) {
-                loads.insert(m, self.queue_load(m, now));
+                loads.insert(m, load);
             }
         }
-        let Some(levels) = Levels::new(&loads, &self.factors()) else {
+        let Some(levels) = Levels::new(sum, count, &self.factors()) else {
             return;
         };
+        let mut all: Vec<(MachineIx, f64)> = loads.iter().map(|(&m, &l)| (m, l)).collect();
+        all.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        let heavy = all.iter().filter(|l| levels.role(l.1) == Role::Victim);
         let mut round = Round {
-            levels,
             packs: HashMap::new(),
             steals: HashMap::new(),
+            victims: heavy.copied().collect(),
+            all,
             loads,
         };
+        let lightest = round.all.last().copied();
         let mut send: Vec<Agent> = Vec::new();
         for &m in &mine {
             let Some(&load) = round.loads.get(&m) else {
@@ -57,7 +72,7 @@
                         continue;
                     }
                     round.packs.insert(m, packs);
-                    if let Some(to) = balance::lightest(&round.loads, m) {
+                    if let Some((to, _)) = lightest.filter(|l| l.0 != m) {
                         send.push(Agent::Hint {
                             to: self.view.names.machines.name(to).to_owned(),
                             from: self.view.names.machines.name(m).to_owned(),
@@ -65,10 +80,11 @@
                         });
                     }
                 }
-                Role::Thief { steals } => {
+                // A machine without free room could start nothing of what it steals.
+                Role::Thief { steals } if self.has_room(m) => {
                     round.steals.insert(m, steals);
                 }
-                Role::Balanced => {}
+                Role::Thief { .. } | Role::Balanced => {}
             }
         }
         let thieves: Vec<(MachineIx, u32)> = round.steals.iter().map(|(&m, &n)| (m, n)).collect();
@@ -93,14 +109,9 @@
     ) -> Option<Agent> {
         let factors = self.factors();
         let round = self.lead.round.as_ref()?;
-        let far = f64::from(hops) > round.loads.len() as f64 * factors.hops;
-        let victims: HashMap<MachineIx, f64> = round
-            .loads
-            .iter()
-            .filter(|(_, l)| far || round.levels.role(**l) == Role::Victim)
-            .map(|(&m, &l)| (m, l))
-            .collect();
-        let to = balance::target(&victims, thief, hops, route, &factors, &mut self.rng)?;
+        let far = f64::from(hops) > round.all.len() as f64 * factors.hops;
+        let known = if far { &round.all } else { &round.victims };
+        let to = balance::target(known, far, thief, route, &factors, &mut self.rng)?;
         let name = |m| self.view.names.machines.name(m).to_owned();
         Some(Agent::Steal {
             to: name(to),
@@ -110,6 +121,13 @@
         })
     }
 
+    /// Whether a machine has room for more than its queue lists.
+    fn has_room(&self, ix: MachineIx) -> bool {
+        let machine = self.view.machines.get(&ix);
+        let size = machine.and_then(|m| self.size(m));
+        size.is_some_and(|size| self.used_on(ix).cpus + 0.5 <= size.cpus)
+    }
+
     /// Tasks that may move, with their loads, the last of the queue first.
     pub(crate) fn movable(&self, ix: MachineIx) -> Vec<(Entry, f64)> {
         let (Some(m), Some(rt)) = (self.view.machines.get(&ix), self.rt.get(&ix)) else {
@@ -134,7 +152,7 @@
     pub(crate) fn may_move(&self, ix: MachineIx, e: &Entry) -> bool {
         self.unstarted(ix, e)
             && !self.reserved.contains(e)
-            && !self.ended(e)
+            && !self.ended(ix, e)
             && self
                 .view
                 .jobs
@@ -292,11 +310,11 @@
         let Some(size) = self.size(to) else {
             return false;
         };
-        let mut used = self.used(thief);
+        let mut used = self.used_on(thief);
         let coming = self.moves.iter().filter(|m| m.thief == thief);
         for e in coming.flat_map(|m| &m.entries).chain(&pack.tasks) {
             if let Some(job) = self.view.jobs.get(&e.task.job) {
-                used.add(&needs_of(job).room, 1.0);
+                used.add(&job.room(), 1.0);
             }
         }
         // What is stolen must be able to start where it goes.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod core;
 pub mod fleet;
+pub mod fresh;
 pub mod jobs;
 pub mod leader;
 pub mod names;
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -120,6 +120,14 @@
             && self.room.fits(size)
     }
 
+    /// Whether whatever has room for `other` has room for this as well.
+    fn covers(&self, other: &Needs) -> bool {
+        self.room.fits(&other.room)
+            && (self.spot || !other.spot)
+            && (self.zone.is_none() || self.zone == other.zone)
+            && (self.frames.is_none() || self.frames == other.frames)
+    }
+
     /// Whether a zone suits, given how many of the job's tasks are bound in each.
     pub fn zone_suits(&self, zone: ZoneIx, bound: &HashMap<ZoneIx, u32>) -> bool {
         let elsewhere = || bound.iter().any(|(&z, &n)| z != zone && n > 0);
@@ -182,6 +190,13 @@
     let mut out = Vec::new();
     let mut held: HashSet<TeamIx> = HashSet::new();
     let mut kept = vec![false; slots.len()];
+    // Queues only fill up during a plan: what has room for no job's tasks is not looked at again,
+    // and a job that needs no less than one that found no room finds none either.
+    let least = smallest(jobs);
+    let mut open: Vec<usize> = (0..slots.len())
+        .filter(|&i| slots[i].wait_s(&least) <= limits.ahead_s)
+        .collect();
+    let mut failed: Vec<Needs> = Vec::new();
     for job in jobs {
         // Room under a team's limit comes free a little at a time. It is kept for the first job
         // that waits for it: otherwise smaller tasks of later jobs would take every bit, and a
@@ -197,7 +212,14 @@
             if out.len() >= limits.most || !within(&job.needs.room, team) {
                 break;
             }
-            let Some(at) = choose(slots, &kept, job, limits, rng) else {
+            if failed.iter().any(|f| f.covers(&job.needs)) {
+                break;
+            }
+            let Some(at) = choose(slots, &open, &kept, job, limits, rng) else {
+                open.retain(|&i| !kept[i] && slots[i].wait_s(&least) <= limits.ahead_s);
+                if !job.needs.same_place && job.needs.zone_most.is_none() {
+                    failed.push(job.needs.clone());
+                }
                 break;
             };
             let slot = &mut slots[at];
@@ -223,13 +245,35 @@
     out
 }
 
+/// The smallest room in every respect that a task of some job takes.
+fn smallest(jobs: &[Candidate]) -> Room {
+    let rooms = jobs.iter().filter(|j| !j.tasks.is_empty());
+    rooms
+        .map(|j| j.needs.room)
+        .reduce(|a, b| Room {
+            cpus: a.cpus.min(b.cpus),
+            gpus: a.gpus.min(b.gpus),
+            ram: a.ram.min(b.ram),
+        })
+        .unwrap_or_default()
+}
+
 /// Machines kept for one job that found no room.
 const KEPT: usize = 4;
+/// Most machines kept in all, however many there are: each waiting job looks through the fleet.
+const KEPT_IN_ALL: usize = 40;
 
 /// Keeps the machines that will soonest have room for a waiting job's tasks from the jobs after
 /// it: on a full fleet, tasks of one CPU would take every bit that comes free, and a task of
 /// two would never start.
 fn keep(slots: &[Slot], kept: &mut [bool], job: &Candidate) {
+    let kept_now = kept.iter().filter(|k| **k).count();
+    let spare = KEPT
+        .max((slots.len() / 4).min(KEPT_IN_ALL))
+        .saturating_sub(kept_now);
+    if spare == 0 {
+        return;
+    }
     let mut waits: Vec<(f64, usize)> = slots
         .iter()
         .enumerate()
@@ -241,9 +285,6 @@
         .map(|(i, s)| (s.wait_s(&job.needs.room), i))
         .collect();
     waits.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let spare = KEPT
-        .max(slots.len() / 4)
-        .saturating_sub(kept.iter().filter(|k| **k).count());
     for &(_, i) in waits.iter().take(KEPT.min(job.tasks.len()).min(spare)) {
         kept[i] = true;
     }
@@ -256,6 +297,7 @@
 
 fn choose(
     slots: &[Slot],
+    open: &[usize],
     kept: &[bool],
     job: &Candidate,
     limits: Limits,
@@ -286,13 +328,13 @@
             .min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal))
             .map(|(_, i)| i)
     };
-    if slots.len() > limits.sample {
-        let picks = index::sample(rng, slots.len(), limits.sample);
-        if let Some(at) = best(&mut picks.into_iter()) {
+    if open.len() > limits.sample {
+        let picks = index::sample(rng, open.len(), limits.sample);
+        if let Some(at) = best(&mut picks.into_iter().map(|i| open[i])) {
             return Some(at);
         }
     }
-    best(&mut (0..slots.len()))
+    best(&mut open.iter().copied())
 }
 
 #[cfg(test)]
--- a/src/ranges.rs
+++ b/src/ranges.rs
@@ -43,6 +43,16 @@
         self.parts.len()
     }
 
+    /// About how many bytes its text has.
+    pub fn text_len(&self) -> usize {
+        let digits = |n: u32| n.checked_ilog10().unwrap_or(0) as usize + 1;
+        let part = |&(lo, hi): &(u32, u32)| match hi - lo {
+            1 => digits(lo) + 1,
+            _ => digits(lo) + digits(hi) + 2,
+        };
+        self.parts.iter().map(part).sum()
+    }
+
     /// Whether `task` belongs to the set.
     pub fn contains(&self, task: u32) -> bool {
         let at = self.parts.partition_point(|&(_, hi)| hi <= task);
@@ -90,6 +100,37 @@
         }
     }
 
+    /// Takes every task of `other` out.
+    pub fn subtract(&mut self, other: &RangeSet) {
+        if self.is_empty() || other.is_empty() {
+            return;
+        }
+        let mut parts = Vec::with_capacity(self.parts.len());
+        let mut at = 0;
+        for &(mut lo, hi) in &self.parts {
+            while at < other.parts.len() && other.parts[at].1 <= lo {
+                at += 1;
+            }
+            let mut next = at;
+            while lo < hi {
+                match other.parts.get(next) {
+                    Some(&(l, h)) if l < hi => {
+                        if lo < l {
+                            parts.push((lo, l));
+                        }
+                        lo = h;
+                        next += 1;
+                    }
+                    _ => {
+                        parts.push((lo, hi));
+                        break;
+                    }
+                }
+            }
+        }
+        self.parts = parts;
+    }
+
     /// The tasks in ascending order.
     pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
         self.parts.iter().flat_map(|&(lo, hi)| lo..hi)
@@ -176,6 +217,22 @@
         assert_eq!(set.gaps(9).count(), 0);
     }
 
+    #[test]
+    fn what_is_subtracted_is_gone_and_nothing_else() {
+        let set = |t: &str| t.parse::<RangeSet>().expect("good");
+        for (from, what, left) in [
+            ("0-9", "3-4,8", "0-2,5-7,9"),
+            ("0-9", "0-20", ""),
+            ("2-3,6-9", "0-2,4-6,9", "3,7-8"),
+            ("5", "1-4,6", "5"),
+            ("1-3,5-7,9", "2-9", "1"),
+        ] {
+            let mut s = set(from);
+            s.subtract(&set(what));
+            assert_eq!(s.to_string(), left, "{from} without {what}");
+        }
+    }
+
     #[test]
     fn text_that_is_no_range_is_refused() {
         for text in ["x", "3-1", "1-", "-4", "4294967295"] {
--- a/src/service.rs
+++ b/src/service.rs
@@ -3,6 +3,7 @@
 use crate::api::{self, Door, Shared};
 use crate::clock::{Clock, Ms, SystemClock};
 use crate::core::{Action, Core, Op, Outcome};
+use crate::fresh::{self, Fresh};
 use crate::jobs::Finals;
 use crate::settings::Settings;
 use crate::state::{LeaseAnswer, StateClient, StateError};
@@ -26,8 +27,10 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Longest time that one watch waits, ms.
 const WATCH_MS: u64 = 1500;
-/// Least time between two watches, so that a burst of changes comes in one answer.
-const WATCH_GAP: Duration = Duration::from_millis(40);
+/// Least time between two watches, ms, so that a burst of changes comes in one answer.
+const WATCH_GAP_MS: u64 = 40;
+/// Part of the state service's requests that the watches of all controllers may take.
+const WATCH_SHARE: f64 = 0.3;
 
 /// Something that went wrong before the service could start.
 #[derive(Debug, thiserror::Error)]
@@ -307,13 +310,20 @@
 
 async fn follow(shared: Arc<Shared>, state: StateClient, controller: Addr<Controller>) {
     let mut reread = true;
+    let gap = {
+        let core = shared.core.lock();
+        let s = &core.settings.platform.settings;
+        let ms = s.count.max(1) as f64 * 1000.0 / (s.state.rps * WATCH_SHARE);
+        Duration::from_millis((ms as u64).max(WATCH_GAP_MS))
+    };
     loop {
         let sent = shared.now();
         let problem = if reread {
             match state.list(ROOT).await {
-                Ok((items, ledger)) => {
+                Ok((items, ledger, upto)) => {
                     let now = shared.now();
-                    shared.core.lock().on_load(items, ledger, sent, now);
+                    shared.core.lock().on_load(items, ledger, upto, sent, now);
+                    shared.fresh.reached(ledger);
                     reread = false;
                     controller.do_send(Kick);
                     None
@@ -326,10 +336,12 @@
                 Ok(list) => {
                     let any = !list.news.is_empty();
                     let now = shared.now();
+                    let ledger = list.ledger;
                     shared.core.lock().on_news(list, sent, now);
+                    shared.fresh.reached(ledger);
                     if any {
                         controller.do_send(Kick);
-                        actix_rt::time::sleep(WATCH_GAP).await;
+                        actix_rt::time::sleep(gap).await;
                     }
                     None
                 }
@@ -431,6 +443,7 @@
     let shared = Arc::new(Shared {
         core: Mutex::new(core),
         finals: Mutex::new(Finals::default()),
+        fresh: Fresh::default(),
         clock: Box::new(clock),
         latency: Mutex::new(
             hdrhistogram::Histogram::new_with_bounds(1, 60_000_000, 2)
@@ -449,6 +462,7 @@
     let door = Door {
         shared: shared.clone(),
         state: state.clone(),
+        pause: fresh::pause(&settings),
     };
     let controller = Controller {
         shared: shared.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -285,12 +285,15 @@
     balance_hops: "balance/hops" = 0.25 in 0.0..=1.0;
     /// Longest lease of a block, seconds.
     block_lease_s: "blocks/lease-s" = 30.0 in 5.0..=600.0;
-    /// Most machines in a block.
+    /// Machines in a block before another block is begun, while there are few blocks.
     block_machines: "blocks/machines" = 10.0 in 1.0..=64.0;
     /// Longest time that a bound task should wait for room on its machine, seconds.
     queue_ahead_s: "queues/ahead-s" = 3.0 in 0.0..=600.0;
     /// Machines looked at for a binding when there are more.
     queue_sample: "queues/sample" = 16.0 in 2.0..=1000.0;
+    /// Seconds that a job waits at most for its first tasks, and for more of them, before it is
+    /// served ahead of its turn.
+    queue_floor_s: "queues/floor-s" = 100.0 in 5.0..=3600.0;
     /// CPUs of running tasks that may be stopped at a time for more pressing ones.
     evict_cpus: "queues/evict-cpus" = 24.0 in 0.0..=10000.0;
     /// Seconds of work that a rented CPU should find waiting.
@@ -300,7 +303,7 @@
     /// Seconds that a refused type and zone is left alone.
     fleet_refused_s: "fleet/refused-s" = 15.0 in 1.0..=3600.0;
     /// Most machines rented at a time.
-    fleet_most: "fleet/most" = 200.0 in 1.0..=1000.0;
+    fleet_most: "fleet/most" = 1000.0 in 1.0..=10000.0;
     /// Most unfinished jobs; more are answered with 429.
     jobs_most: "jobs/most" = 3000.0 in 1.0..=1000000.0;
     /// Milliseconds between messages to a peer.
@@ -461,9 +464,9 @@
         sockets.map_or(100_000, |s| (s * 4 / 5).max(8))
     }
 
-    /// Machines in a block: bounded by the operators and by what a value can list.
+    /// Machines in a block before another block is begun, while there are few blocks.
     pub fn block_machines(&self) -> usize {
-        (self.options.block_machines as usize).clamp(1, (self.value_bytes() / 380).max(1))
+        (self.options.block_machines as usize).max(1)
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,8 +82,15 @@
         parse(&body).map(Some)
     }
 
-    /// Reads every key with a prefix. The revision is the one at which reading began.
-    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, u64), StateError> {
+    /// Reads the service's revision, on the way of a key that is short.
+    pub async fn revision(&self, key: &str, wait: Duration) -> Result<u64, StateError> {
+        let path = format!("/keys?starts={key}&limit=1");
+        let (_, body) = self.get(&path, wait).await?;
+        parse::<ItemList>(&body).map(|l| l.ledger)
+    }
+
+    /// Reads every key with a prefix. The revisions are those of the first and of the last page.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, u64, u64), StateError> {
         let mut items: Vec<Item> = Vec::new();
         let mut ledger = None;
         loop {
@@ -98,7 +105,7 @@
             let more = page.has_next && !page.items.is_empty();
             items.extend(page.items);
             if !more {
-                return Ok((items, ledger.unwrap_or(0)));
+                return Ok((items, ledger.unwrap_or(0), page.ledger));
             }
         }
     }
--- a/src/view.rs
+++ b/src/view.rs
@@ -8,10 +8,10 @@
 };
 use crate::ranges::RangeSet;
 use crate::wire::{
-    BlockRecord, Change, Item, JobRecord, JobSpec, JobStatus, MachineRecord, News, NodeRecord,
-    OwnerRecord, Txn,
+    BlockRecord, Change, Item, JobRecord, JobSpec, JobStatus, Json, Listing, LoadRecord,
+    MachineRecord, News, NodeRecord, OwnerRecord, Txn,
 };
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// Prefix of everything that is watched.
@@ -113,6 +113,52 @@
     pub stamp: u64,
     /// Its machines, in the order of their names.
     pub machines: Vec<MachineIx>,
+    /// Tasks done on its machines that their jobs' own keys need not show yet.
+    pub done: Vec<(JobIx, RangeSet)>,
+    /// Size of its value.
+    pub bytes: usize,
+}
+
+/// A block's content while a change of it is put together.
+#[derive(Debug, Clone, Default)]
+pub struct Draft {
+    /// Its machines.
+    pub machines: BTreeMap<MachineIx, Machine>,
+    /// Tasks done on them.
+    pub done: Vec<(JobIx, RangeSet)>,
+}
+
+impl Draft {
+    /// Notes that a task was done here.
+    pub fn note_done(&mut self, task: TaskIx) {
+        match self.done.iter_mut().find(|d| d.0 == task.job) {
+            Some((_, tasks)) => tasks.insert(task.leg),
+            None => {
+                let mut tasks = RangeSet::new();
+                tasks.insert(task.leg);
+                self.done.push((task.job, tasks));
+            }
+        }
+    }
+}
+
+/// What changed in the replica since somebody last asked.
+#[derive(Debug, Default)]
+pub struct Touched {
+    /// Blocks whose content or holder changed.
+    pub blocks: BTreeSet<BlockId>,
+    /// Machines that left their block.
+    pub machines: Vec<MachineIx>,
+    /// Controllers that published their totals.
+    pub loads: Vec<HostIx>,
+}
+
+/// What blocks say of a job's tasks that were done.
+#[derive(Debug, Default)]
+struct Noted {
+    /// Number of blocks that say something.
+    blocks: u32,
+    done: RangeSet,
 }
 
 /// Who holds something, and since which revision.
@@ -156,13 +202,24 @@
     pub zone: Option<ZoneIx>,
     /// State.
     pub status: JobStatus,
-    /// Tasks done.
+    /// Tasks done, as the job's key or any block shows them.
     pub done: RangeSet,
+    /// Tasks done as the job's own key shows them.
+    pub stored: RangeSet,
     /// Time of day of the submission.
     pub submitted_ms: u64,
 }
 
 impl Job {
+    /// Room of one task.
+    pub fn room(&self) -> crate::queue::Room {
+        crate::queue::Room {
+            cpus: self.spec.vcpus,
+            gpus: self.spec.gpus,
+            ram: self.spec.ram_gb,
+        }
+    }
+
     /// The value to be stored, with other done ranges and state.
     pub fn record(&self, done: RangeSet, status: JobStatus) -> JobRecord {
         JobRecord {
@@ -237,20 +294,39 @@
     /// Jobs.
     pub jobs: HashMap<JobIx, Job>,
     /// Queue totals as published.
-    pub loads: HashMap<HostIx, HashMap<MachineIx, f64>>,
+    pub loads: HashMap<HostIx, Loads>,
     /// Jobs that left since the last look; their indices are still reserved.
     pub left: Vec<JobIx>,
     /// Raised by every change that scheduling looks at.
     pub version: u64,
+    /// What changed since the last look.
+    pub touched: Touched,
+    /// How often queues list each task; once, but for moments between two changes.
+    bound: HashMap<JobIx, BTreeMap<u32, u8>>,
+    noted: HashMap<JobIx, Noted>,
+}
+
+/// Queue totals of one controller's machines.
+#[derive(Debug, Clone, Default)]
+pub struct Loads {
+    /// Number of machines.
+    pub count: usize,
+    /// Sum of their loads.
+    pub sum: f64,
+    /// The heaviest and the lightest.
+    pub machines: HashMap<MachineIx, f64>,
 }
 
 impl View {
     /// Takes a full read of the watched part that began at revision `ledger`.
     pub fn load(&mut self, items: Vec<Item>, ledger: u64) {
         let mut keep: std::collections::HashSet<String> = Default::default();
-        for item in items {
-            keep.insert(item.k.clone());
-            self.put(&item.k, item.v, item.stamp);
+        // Jobs come first, for blocks speak of them.
+        let (jobs, rest): (Vec<Item>, Vec<Item>) =
+            items.into_iter().partition(|i| i.k.starts_with(JOBS));
+        for item in jobs.into_iter().chain(rest) {
+            self.put(&item.k, &item.v, item.stamp);
+            keep.insert(item.k);
         }
         // What an earlier replica held and the read no longer shows was dropped meanwhile.
         let mut gone: Vec<String> = Vec::new();
@@ -272,11 +348,14 @@
 
     /// Takes what a watch delivered.
     pub fn apply_news(&mut self, news: Vec<News>, ledger: u64) {
-        for n in news {
+        // Everything up to here is in: a list that comes twice, or after a newer one, brings
+        // back nothing that was dropped since.
+        let known = self.ledger;
+        for n in news.into_iter().filter(|n| n.stamp > known) {
             // Own commits may be in already; a repeat of them must not undo what followed.
             if let Some(key) = n.put {
                 if n.stamp > self.stamp(&key) {
-                    self.put(&key, n.v, n.stamp);
+                    self.put(&key, &n.v, n.stamp);
                 }
             } else if let Some(key) = n.drop
                 && n.stamp > self.stamp(&key)
@@ -302,7 +381,7 @@
                 continue;
             }
             match change {
-                Change::Put { put, v, .. } => self.put(put, v.clone(), ledger),
+                Change::Put { put, v, .. } => self.put(put, v, ledger),
                 Change::Drop { drop } => self.remove(drop),
             }
         }
@@ -329,13 +408,13 @@
         .unwrap_or(0)
     }
 
-    fn put(&mut self, key: &str, value: serde_json::Value, stamp: u64) {
+    fn put(&mut self, key: &str, value: &Json, stamp: u64) {
         let ok = if key == LEAD {
             self.put_owner(value, stamp).map(|o| self.lead = Some(o))
         } else if key == CATALOG {
-            serde_json::from_value(value).map(|c| self.catalog = Some(c))
+            value.read().map(|c| self.catalog = Some(c))
         } else if let Some(host) = key.strip_prefix(NODES) {
-            serde_json::from_value::<NodeRecord>(value).map(|n| {
+            value.read::<NodeRecord>().map(|n| {
                 let node = NodeView {
                     boot: Boot(n.b),
                     permit: n.l,
@@ -344,21 +423,30 @@
                 self.nodes.insert(self.names.hosts.intern(host), node);
             })
         } else if let Some(b) = key.strip_prefix(GRANTS).and_then(|b| b.parse().ok()) {
-            self.put_owner(value, stamp)
-                .map(|o| self.grants.insert(BlockId(b), o))
-                .map(|_| ())
+            self.put_owner(value, stamp).map(|o| {
+                self.grants.insert(BlockId(b), o);
+                self.touched.blocks.insert(BlockId(b));
+            })
         } else if let Some(b) = key.strip_prefix(BLOCKS).and_then(|b| b.parse().ok()) {
-            serde_json::from_value(value).map(|r| self.put_block(BlockId(b), r, stamp))
+            value
+                .read()
+                .map(|r| self.put_block(BlockId(b), r, value.size(), stamp))
         } else if let Some(name) = key.strip_prefix(JOBS) {
-            serde_json::from_value(value).map(|r| self.put_job(name, r, stamp))
+            value.read().map(|r| self.put_job(name, r, stamp))
         } else if let Some(host) = key.strip_prefix(LOADS) {
-            serde_json::from_value::<HashMap<String, f64>>(value).map(|t| {
+            value.read::<LoadRecord>().map(|r| {
                 let host = self.names.hosts.intern(host);
-                let totals = t
-                    .iter()
+                let named = r.m.iter();
+                let machines = named
                     .filter_map(|(m, l)| Some((self.names.machines.get(m)?, *l)))
                     .collect();
-                self.loads.insert(host, totals);
+                let loads = Loads {
+                    count: r.n,
+                    sum: r.s,
+                    machines,
+                };
+                self.loads.insert(host, loads);
+                self.touched.loads.push(host);
             })
         } else {
             Ok(())
@@ -371,12 +459,8 @@
         }
     }
 
-    fn put_owner(
-        &mut self,
-        value: serde_json::Value,
-        stamp: u64,
-    ) -> Result<Owner, serde_json::Error> {
-        let r: OwnerRecord = serde_json::from_value(value)?;
+    fn put_owner(&mut self, value: &Json, stamp: u64) -> Result<Owner, serde_json::Error> {
+        let r: OwnerRecord = value.read()?;
         Ok(Owner {
             host: self.names.hosts.intern(&r.h),
             boot: Boot(r.b),
@@ -384,31 +468,112 @@
         })
     }
 
-    fn put_block(&mut self, id: BlockId, record: BlockRecord, stamp: u64) {
-        let before = self.blocks.remove(&id).map(|b| b.machines);
+    fn put_block(&mut self, id: BlockId, record: BlockRecord, bytes: usize, stamp: u64) {
+        let before = self.blocks.remove(&id);
+        let jobs: Vec<JobIx> = record.j.iter().map(|j| self.names.jobs.intern(j)).collect();
+        let kinds: Vec<(FrameIx, ZoneIx, bool)> = record
+            .k
+            .iter()
+            .map(|(f, z, s)| (self.names.frames.intern(f), self.names.zones.intern(z), *s))
+            .collect();
         let mut machines = Vec::with_capacity(record.m.len());
         for (name, m) in record.m {
             let ix = self.names.machines.intern(&name);
-            let queue = self.ungroup(m.q);
-            let evict = self.ungroup(m.p);
+            machines.push(ix);
+            let Some(&(frame, zone, spot)) = kinds.get(m.k) else {
+                tracing::error!(block = id.0, rig = name, "a machine of no kind");
+                continue;
+            };
             let machine = Machine {
                 block: id,
-                frame: self.names.frames.intern(&m.f),
-                zone: self.names.zones.intern(&m.y),
-                spot: m.l,
+                frame,
+                zone,
+                spot,
                 leaving: m.x,
-                queue,
-                evict,
+                queue: ungroup(&m.q, &jobs),
+                evict: ungroup(&m.p, &jobs),
             };
-            self.machines.insert(ix, machine);
-            machines.push(ix);
+            self.put_machine(ix, Some(machine));
+        }
+        let done: Vec<(JobIx, RangeSet)> = record
+            .d
+            .into_iter()
+            .filter_map(|(j, tasks)| Some((*jobs.get(j)?, tasks)))
+            .collect();
+        for (job, tasks) in &done {
+            let noted = self.noted.entry(*job).or_default();
+            noted.blocks += 1;
+            noted.done.union(tasks);
+            if let Some(job) = self.jobs.get_mut(job) {
+                job.done.union(tasks);
+            }
         }
-        for ix in before.unwrap_or_default() {
-            if !machines.contains(&ix) && self.machines.get(&ix).is_some_and(|m| m.block == id) {
-                self.machines.remove(&ix);
+        if let Some(before) = before {
+            let there: std::collections::HashSet<MachineIx> = machines.iter().copied().collect();
+            self.drop_block(before, |m| there.contains(&m), id);
+        }
+        self.touched.blocks.insert(id);
+        let block = Block {
+            stamp,
+            machines,
+            done,
+            bytes,
+        };
+        self.blocks.insert(id, block);
+    }
+
+    /// Undoes what a block's former content had brought, but for machines that it still has.
+    fn drop_block(&mut self, before: Block, stays: impl Fn(MachineIx) -> bool, id: BlockId) {
+        for ix in before.machines {
+            if !stays(ix) && self.machines.get(&ix).is_some_and(|m| m.block == id) {
+                self.put_machine(ix, None);
+            }
+        }
+        for (job, _) in before.done {
+            // What was done stays done: only the number of those who say so changes.
+            if let Some(noted) = self.noted.get_mut(&job) {
+                noted.blocks = noted.blocks.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Puts a machine in, or takes it out, and keeps count of what queues list.
+    fn put_machine(&mut self, ix: MachineIx, machine: Option<Machine>) {
+        let before = match machine {
+            Some(machine) => {
+                if self
+                    .machines
+                    .get(&ix)
+                    .is_none_or(|m| m.queue != machine.queue)
+                {
+                    for e in &machine.queue {
+                        let legs = self.bound.entry(e.task.job).or_default();
+                        *legs.entry(e.task.leg).or_default() += 1;
+                    }
+                    self.machines.insert(ix, machine)
+                } else {
+                    self.machines.insert(ix, machine);
+                    None
+                }
+            }
+            None => {
+                self.touched.machines.push(ix);
+                self.machines.remove(&ix)
+            }
+        };
+        for e in before.map(|m| m.queue).unwrap_or_default() {
+            if let Some(legs) = self.bound.get_mut(&e.task.job) {
+                if let Some(n) = legs.get_mut(&e.task.leg) {
+                    *n -= 1;
+                    if *n == 0 {
+                        legs.remove(&e.task.leg);
+                    }
+                }
+                if legs.is_empty() {
+                    self.bound.remove(&e.task.job);
+                }
             }
         }
-        self.blocks.insert(id, Block { stamp, machines });
     }
 
     fn put_job(&mut self, name: &str, r: JobRecord, stamp: u64) {
@@ -417,9 +582,14 @@
             // The specification never changes.
             job.stamp = stamp;
             job.status = r.st;
-            job.done = r.d;
+            job.done.union(&r.d);
+            job.stored = r.d;
             return;
         }
+        let mut done = r.d.clone();
+        if let Some(noted) = self.noted.get(&ix) {
+            done.union(&noted.done);
+        }
         let names = &mut self.names;
         let job = Job {
             stamp,
@@ -433,7 +603,8 @@
                 .map(|f| f.iter().map(|f| names.frames.intern(f)).collect()),
             zone: r.s.yard.as_ref().map(|y| names.zones.intern(y)),
             status: r.st,
-            done: r.d,
+            done,
+            stored: r.d,
             submitted_ms: r.t,
             spec: Arc::new(r.s),
         };
@@ -452,15 +623,12 @@
             }
         } else if let Some(b) = key.strip_prefix(GRANTS).and_then(block) {
             self.grants.remove(&b);
+            self.touched.blocks.insert(b);
         } else if let Some(b) = key.strip_prefix(BLOCKS).and_then(block) {
-            for ix in self
-                .blocks
-                .remove(&b)
-                .map(|b| b.machines)
-                .unwrap_or_default()
-            {
-                self.machines.remove(&ix);
+            if let Some(before) = self.blocks.remove(&b) {
+                self.drop_block(before, |_| false, b);
             }
+            self.touched.blocks.insert(b);
         } else if let Some(j) = key.strip_prefix(JOBS)
             && let Some(ix) = self.names.jobs.get(j)
             && self.jobs.remove(&ix).is_some()
@@ -469,71 +637,62 @@
         }
     }
 
-    /// The value of a block's key, with each machine's queue passed through `queue`.
-    pub fn block_record(
-        &self,
-        id: BlockId,
-        mut queue: impl FnMut(MachineIx, &Machine) -> Vec<Entry>,
-    ) -> BlockRecord {
-        let mut record = BlockRecord::default();
-        let machines = self.blocks.get(&id).map(|b| b.machines.as_slice());
-        for &ix in machines.unwrap_or_default() {
-            let Some(m) = self.machines.get(&ix) else {
-                continue;
-            };
-            let entries = queue(ix, m);
-            let name = self.names.machines.name(ix).to_owned();
-            record.m.insert(name, self.machine_record(m, &entries));
-        }
-        record
-    }
-
-    fn ungroup(&mut self, groups: Vec<(String, RangeSet, u64)>) -> Vec<Entry> {
-        let mut entries = Vec::new();
-        for (job, legs, attempt) in groups {
-            let job = self.names.jobs.intern(&job);
-            entries.extend(legs.iter().map(|leg| Entry {
-                task: TaskIx { job, leg },
-                attempt,
-            }));
+    /// A block's content, to be changed and written; empty for a new block.
+    pub fn draft(&self, id: BlockId) -> Draft {
+        let Some(block) = self.blocks.get(&id) else {
+            return Draft::default();
+        };
+        Draft {
+            machines: block
+                .machines
+                .iter()
+                .filter_map(|ix| Some((*ix, self.machines.get(ix)?.clone())))
+                .collect(),
+            done: block.done.clone(),
         }
-        entries
     }
 
-    fn machine_record(&self, m: &Machine, entries: &[Entry]) -> MachineRecord {
-        let evict: Vec<Entry> = m
-            .evict
-            .iter()
-            .copied()
-            .filter(|e| entries.contains(e))
-            .collect();
-        MachineRecord {
-            f: self.names.frames.name(m.frame).to_owned(),
-            y: self.names.zones.name(m.zone).to_owned(),
-            l: m.spot,
-            x: m.leaving,
-            q: self.group(entries),
-            p: self.group(&evict),
+    /// The value that a block's key is to have. What the jobs' own keys show already, or need no
+    /// more, is left out.
+    pub fn seal(&self, draft: &Draft) -> BlockRecord {
+        let mut record = BlockRecord::default();
+        let mut jobs = Table::default();
+        let mut kinds = Table::default();
+        for (&ix, m) in &draft.machines {
+            let mut listed = m.evict.clone();
+            listed.retain(|e| m.queue.contains(e));
+            let stored = MachineRecord {
+                k: kinds.place((m.frame, m.zone, m.spot)),
+                x: m.leaving,
+                q: group(&m.queue, &mut jobs),
+                p: group(&listed, &mut jobs),
+            };
+            record
+                .m
+                .insert(self.names.machines.name(ix).to_owned(), stored);
         }
-    }
-
-    /// Entries as they are stored: runs of tasks by job and attempt.
-    pub fn group(&self, entries: &[Entry]) -> Vec<(String, RangeSet, u64)> {
-        let mut q: Vec<(JobIx, RangeSet, u64)> = Vec::new();
-        for e in entries {
-            let part = match q.iter_mut().find(|p| p.0 == e.task.job && p.2 == e.attempt) {
-                Some(part) => part,
-                None => {
-                    q.push((e.task.job, RangeSet::new(), e.attempt));
-                    let last = q.len() - 1;
-                    &mut q[last]
-                }
+        for (ix, tasks) in &draft.done {
+            // A job is pending until its key says otherwise, and gone once it is archived: by
+            // then nobody asks for its tasks any more. Both last for ever.
+            let Some(job) = self.jobs.get(ix) else {
+                continue;
             };
-            part.1.insert(e.task.leg);
+            let mut open = tasks.clone();
+            open.subtract(&job.stored);
+            if job.status == JobStatus::Pending && !open.is_empty() {
+                record.d.push((jobs.place(*ix), open));
+            }
         }
-        q.into_iter()
-            .map(|(j, r, a)| (self.names.jobs.name(j).to_owned(), r, a))
-            .collect()
+        let names = &self.names;
+        record.j = jobs.keys(|&j| names.jobs.name(j).to_owned());
+        record.k = kinds.keys(|&(f, z, s)| {
+            (
+                names.frames.name(f).to_owned(),
+                names.zones.name(z).to_owned(),
+                s,
+            )
+        });
+        record
     }
 
     /// The highest revision known here, by the watch or by an own commit.
@@ -547,35 +706,41 @@
         Some((block, *self.grants.get(&block)?))
     }
 
-    /// Bound tasks of every job.
-    pub fn bound(&self) -> HashMap<JobIx, RangeSet> {
-        let mut bound: HashMap<JobIx, RangeSet> = HashMap::new();
-        for m in self.machines.values() {
-            for e in &m.queue {
-                bound.entry(e.task.job).or_default().insert(e.task.leg);
-            }
-        }
-        bound
+    /// Bound tasks of a job, in ascending order.
+    pub fn bound(&self, job: JobIx) -> impl Iterator<Item = u32> + '_ {
+        self.bound
+            .get(&job)
+            .into_iter()
+            .flat_map(|l| l.keys().copied())
+    }
+
+    /// Number of bound tasks of a job.
+    pub fn bound_len(&self, job: JobIx) -> u32 {
+        self.bound.get(&job).map_or(0, |l| l.len() as u32)
     }
 
-    /// Whether some queue lists a task of the job.
-    pub fn is_bound(&self, job: JobIx) -> bool {
-        self.machines
-            .values()
-            .any(|m| m.queue.iter().any(|e| e.task.job == job))
+    /// Whether some queue lists a task of the job, or some block speaks of it.
+    pub fn is_mentioned(&self, job: JobIx) -> bool {
+        self.bound.contains_key(&job) || self.noted.get(&job).is_some_and(|n| n.blocks > 0)
     }
 
-    /// Frees the indices of jobs that left and that no queue lists; returns them.
+    /// Frees the indices of jobs that left and that no block mentions; returns them.
     pub fn release_left(&mut self) -> Vec<JobIx> {
         let left = std::mem::take(&mut self.left);
-        let (kept, freed): (Vec<_>, Vec<_>) = left.into_iter().partition(|&j| self.is_bound(j));
+        let (kept, freed): (Vec<_>, Vec<_>) = left.into_iter().partition(|&j| self.is_mentioned(j));
         self.left = kept;
         for &j in &freed {
+            self.noted.remove(&j);
             self.names.jobs.release(j);
         }
         freed
     }
 
+    /// Everything counts as changed: a new life looks at all of it again.
+    pub fn touch_all(&mut self) {
+        self.touched.blocks.extend(self.blocks.keys());
+    }
+
     /// Dense bound on machine indices.
     pub fn machine_slots(&self) -> usize {
         self.names.machines.slots()
@@ -588,3 +753,61 @@
         all
     }
 }
+
+/// Keys in the order in which they were first asked for.
+struct Table<K> {
+    places: HashMap<K, usize>,
+    keys: Vec<K>,
+}
+
+impl<K> Default for Table<K> {
+    fn default() -> Self {
+        Self {
+            places: HashMap::new(),
+            keys: Vec::new(),
+        }
+    }
+}
+
+impl<K: Copy + Eq + std::hash::Hash> Table<K> {
+    fn place(&mut self, key: K) -> usize {
+        *self.places.entry(key).or_insert_with(|| {
+            self.keys.push(key);
+            self.keys.len() - 1
+        })
+    }
+
+    fn keys<T>(&self, name: impl Fn(&K) -> T) -> Vec<T> {
+        self.keys.iter().map(name).collect()
+    }
+}
+
+/// Entries as they are stored: runs of tasks by job and attempt.
+fn group(entries: &[Entry], jobs: &mut Table<JobIx>) -> Vec<Listing> {
+    let mut q: Vec<Listing> = Vec::new();
+    for e in entries {
+        let job = jobs.place(e.task.job);
+        let part = match q.iter_mut().position(|p| p.0 == job && p.2 == e.attempt) {
+            Some(at) => &mut q[at],
+            None => {
+                q.push((job, RangeSet::new(), e.attempt));
+                let last = q.len() - 1;
+                &mut q[last]
+            }
+        };
+        part.1.insert(e.task.leg);
+    }
+    q
+}
+
+fn ungroup(listed: &[Listing], jobs: &[JobIx]) -> Vec<Entry> {
+    let mut entries = Vec::new();
+    for (job, legs, attempt) in listed {
+        let Some(&job) = jobs.get(*job) else { continue };
+        entries.extend(legs.iter().map(|leg| Entry {
+            task: TaskIx { job, leg },
+            attempt: *attempt,
+        }));
+    }
+    entries
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,8 +1,57 @@
 //! Messages of every interface, as PROTOCOL writes them, and the values kept in the state service.
 
 use crate::ranges::RangeSet;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::value::RawValue;
 use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A JSON value as text. It is written once and read at most once, however often it is sent
+/// again or delivered again.
+#[derive(Debug, Clone)]
+pub struct Json(Arc<RawValue>);
+
+impl Json {
+    /// The text of `value`. Our records are plain data with string keys and always become JSON.
+    pub fn of(value: &impl Serialize) -> Json {
+        let raw = serde_json::value::to_raw_value(value);
+        Json(raw.unwrap_or_else(|_| RawValue::NULL.to_owned()).into())
+    }
+
+    /// Reads it as a record.
+    pub fn read<T: serde::de::DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
+        serde_json::from_str(self.0.get())
+    }
+
+    /// Bytes of the text.
+    pub fn size(&self) -> usize {
+        self.0.get().len()
+    }
+}
+
+impl Default for Json {
+    fn default() -> Self {
+        Json(RawValue::NULL.to_owned().into())
+    }
+}
+
+impl PartialEq for Json {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.get() == other.0.get()
+    }
+}
+
+impl Serialize for Json {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        self.0.serialize(s)
+    }
+}
+
+impl<'de> Deserialize<'de> for Json {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        Box::<RawValue>::deserialize(d).map(|raw| Json(raw.into()))
+    }
+}
 
 /// What a user asks for; also the part of a job record that never changes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -337,7 +386,7 @@
     /// Key.
     pub k: String,
     /// Value.
-    pub v: serde_json::Value,
+    pub v: Json,
     /// Revision of its last change.
     pub stamp: u64,
 }
@@ -367,16 +416,16 @@
 
 /// A change of a transaction.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(untagged)]
+#[serde(untagged, from = "ChangeRead")]
 pub enum Change {
     /// Write a key.
     Put {
         /// Key.
         put: String,
         /// Value.
-        v: serde_json::Value,
+        v: Json,
         /// Lease that it hangs on.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
+        #[serde(skip_serializing_if = "Option::is_none")]
         permit: Option<u64>,
     },
     /// Remove a key.
@@ -386,6 +435,32 @@
     },
 }
 
+/// A change as it is read: raw values cannot be read through an untagged enum.
+#[derive(Deserialize)]
+struct ChangeRead {
+    #[serde(default)]
+    put: String,
+    #[serde(default)]
+    v: Json,
+    #[serde(default)]
+    permit: Option<u64>,
+    #[serde(default)]
+    drop: Option<String>,
+}
+
+impl From<ChangeRead> for Change {
+    fn from(c: ChangeRead) -> Change {
+        match c.drop {
+            Some(drop) => Change::Drop { drop },
+            None => Change::Put {
+                put: c.put,
+                v: c.v,
+                permit: c.permit,
+            },
+        }
+    }
+}
+
 /// `POST /commit`.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Txn {
@@ -406,7 +481,7 @@
     pub drop: Option<String>,
     /// Value written.
     #[serde(default)]
-    pub v: serde_json::Value,
+    pub v: Json,
     /// Revision.
     pub stamp: u64,
 }
@@ -434,30 +509,53 @@
     pub t: u64,
 }
 
+/// Tasks of one job and attempt in a block's value: place in its table of jobs, tasks, attempt.
+pub type Listing = (usize, RangeSet, u64);
+
 /// Stored: a machine of a block with its queue.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineRecord {
-    /// Type.
-    pub f: String,
-    /// Zone.
-    pub y: String,
-    /// Spot.
-    pub l: bool,
+    /// Its kind: place in the block's table.
+    pub k: usize,
     /// Whether it is being given back: nothing new is bound to it.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub x: bool,
-    /// Bound tasks: job, ranges, attempt.
-    pub q: Vec<(String, RangeSet, u64)>,
+    /// Bound tasks.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub q: Vec<Listing>,
     /// Those of them that are to be stopped to make room.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub p: Vec<(String, RangeSet, u64)>,
+    pub p: Vec<Listing>,
 }
 
-/// Stored: a block of machines.
+/// Stored: a block of machines. Names that stand in it often stand once, in a table, so that a
+/// value holds many machines.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct BlockRecord {
+    /// Kinds of machines: type, zone, spot.
+    #[serde(default)]
+    pub k: Vec<(String, String, bool)>,
+    /// Jobs.
+    #[serde(default)]
+    pub j: Vec<String>,
     /// Machines by name.
+    #[serde(default)]
     pub m: BTreeMap<String, MachineRecord>,
+    /// Tasks that were done here and that their jobs' own keys need not show yet.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub d: Vec<(usize, RangeSet)>,
+}
+
+/// Stored: queue totals of a controller's machines, for the mean and for the choice of targets.
+/// Machines in between are counted only, so that the value stays small however many there are.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadRecord {
+    /// Number of machines.
+    pub n: usize,
+    /// Sum of their loads.
+    pub s: f64,
+    /// The heaviest and the lightest of them.
+    pub m: BTreeMap<String, f64>,
 }
 
 /// Stored: who leads, or who holds a block. The key's revision is the term or the token.
@@ -485,14 +583,14 @@
     pub rig: String,
     /// Milliseconds since its last report; none if it never reported to this holder.
     pub age_ms: Option<u64>,
-    /// Seconds until the cloud takes it.
-    pub recall_s: Option<f64>,
+    /// Whether it obeys the holder's token and answers reach it.
+    pub obeys: bool,
+    /// Whether the cloud takes it soon.
+    pub recalled: bool,
     /// Whether the holder wants it replaced.
     pub sick: bool,
     /// Queue load, seconds of work per CPU.
     pub load: f64,
-    /// Tasks on it that are running.
-    pub running: Vec<(String, u32)>,
 }
 
 /// A machine whose report reached a controller that doesn't hold it.
@@ -535,6 +633,15 @@
     },
 }
 
+/// What a holder knows of its machines.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetNews {
+    /// Its machines.
+    pub machines: Vec<MachineNews>,
+    /// Tasks that run there, by job.
+    pub running: Vec<(String, u32)>,
+}
+
 /// What controllers tell each other, in a request as in its answer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerNews {
@@ -546,8 +653,8 @@
     pub state_ok: bool,
     /// Peers and the milliseconds since each was heard.
     pub heard: Vec<(String, u64)>,
-    /// Its machines.
-    pub machines: Vec<MachineNews>,
+    /// Its machines and how many tasks of each job run there, unless the message is a short one.
+    pub fleet: Option<FleetNews>,
     /// Strays that came to it.
     pub strays: Vec<Stray>,
     /// Messages between agents.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -355,10 +355,10 @@
     w.workers[0].recall_s = None;
     w.workers[0].cut = true;
     // The block goes to somebody else, who may start them, and comes back.
-    let mine = w.state.value("qb/grant/0000").expect("granted").clone();
+    let mine = w.state.value("qb/grant/0000").expect("granted");
     let theirs = serde_json::json!({ "h": "other", "b": 1 });
-    w.state.overwrite("qb/grant/0000", theirs);
-    w.state.overwrite("qb/grant/0000", mine);
+    w.state.overwrite("qb/grant/0000", &theirs);
+    w.state.overwrite("qb/grant/0000", &mine);
     w.links[holder].state = Mood::Good;
     w.run(2000);
     assert_eq!(queue(&w), before);
@@ -522,7 +522,7 @@
 fn a_storm_of_refusals_and_clocks_at_their_bound_keep_the_rules() {
     for seed in 0..4 {
         let mut w = settled(300 + seed, 6);
-        w.drift = [0.0005, 0.0, -0.0005];
+        w.drift = vec![0.0005, 0.0, -0.0005];
         let jobs: Vec<String> = (1..=3).map(|n| w.submit(n, w.spec(20))).collect();
         for i in 0..3 {
             w.links[i].state = Mood::Moody;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -27,7 +27,7 @@
 }
 
 struct Key {
-    v: serde_json::Value,
+    v: Json,
     stamp: u64,
     permit: Option<u64>,
 }
@@ -70,7 +70,7 @@
         Outcome::Done(self.ledger)
     }
 
-    fn put(&mut self, k: &str, v: serde_json::Value, permit: Option<u64>) {
+    fn put(&mut self, k: &str, v: Json, permit: Option<u64>) {
         let stamp = self.ledger;
         let key = Key {
             v: v.clone(),
@@ -90,7 +90,7 @@
     fn drop_key(&mut self, k: &str) {
         if self.keys.remove(k).is_some() {
             let (drop, stamp) = (Some(k.into()), self.ledger);
-            let v = serde_json::Value::Null;
+            let v = Json::default();
             self.history.push(News {
                 put: None,
                 drop,
@@ -113,14 +113,14 @@
     }
 
     /// Writes a key behind everybody's back; its lease stays.
-    pub fn overwrite(&mut self, k: &str, v: serde_json::Value) {
+    pub fn overwrite(&mut self, k: &str, v: &serde_json::Value) {
         self.ledger += 1;
         let permit = self.keys.get(k).and_then(|k| k.permit);
-        self.put(k, v, permit);
+        self.put(k, Json::of(v), permit);
     }
 
-    pub fn value(&self, k: &str) -> Option<&serde_json::Value> {
-        self.keys.get(k).map(|k| &k.v)
+    pub fn value(&self, k: &str) -> Option<serde_json::Value> {
+        self.keys.get(k).and_then(|k| k.v.read().ok())
     }
 
     pub fn stamp(&self, k: &str) -> u64 {
@@ -261,7 +261,7 @@
     pub broken: Vec<String>,
     pub returned: BTreeSet<String>,
     /// How much faster than true time each controller's steady clock runs.
-    pub drift: [f64; 3],
+    pub drift: Vec<f64>,
     pub settings: Settings,
     bookings: HashMap<String, Vec<String>>,
     rng: SmallRng,
@@ -273,19 +273,28 @@
 impl World {
     /// A world of three controllers and some machines that run already.
     pub fn new(seed: u64, machines: usize) -> World {
-        let settings = Settings::new(Platform::parse(PLATFORM).expect("good"), Options::default());
+        World::sized(seed, 3, machines)
+    }
+
+    /// A world of so many controllers and machines.
+    pub fn sized(seed: u64, nodes: usize, machines: usize) -> World {
+        let platform = PLATFORM.replace("count = 3", &format!("count = {nodes}"));
+        let settings = Settings::new(
+            Platform::parse(&platform).expect("good"),
+            Options::default(),
+        );
         let mut w = World {
             now: 10_000_000,
             state: State::default(),
-            nodes: (0..3).map(|_| None).collect(),
-            links: vec![GOOD; 3],
+            nodes: (0..nodes).map(|_| None).collect(),
+            links: vec![GOOD; nodes],
             workers: Vec::new(),
             cloud_up: true,
             run_ms: 8000,
             starts: Vec::new(),
             broken: Vec::new(),
             returned: BTreeSet::new(),
-            drift: [0.0; 3],
+            drift: vec![0.0; nodes],
             settings,
             bookings: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -294,9 +303,7 @@
         for i in 0..machines {
             w.machine("small", ["north", "south"][i % 2], false, 0);
         }
-        for i in 0..3 {
-            w.start(i);
-        }
+        (0..nodes).for_each(|i| w.start(i));
         w
     }
 
@@ -319,7 +326,7 @@
             tally: 0,
             baton: 0,
             tasks: Vec::new(),
-            at: self.rented as usize % 3,
+            at: self.rented as usize % self.nodes.len(),
             next_report: self.now + boot,
             answered: self.now + boot,
             cut: false,
@@ -336,13 +343,13 @@
 
     pub fn start(&mut self, i: usize) {
         let mut s = self.settings.clone();
-        let names = ["n0", "n1", "n2"];
-        s.platform.host_name = names[i].into();
+        let names: Vec<String> = (0..self.nodes.len()).map(|n| format!("n{n}")).collect();
+        s.platform.host_name = names[i].clone();
         s.platform.known = names
             .iter()
             .filter(|n| **n != names[i])
             .map(|n| quillbend::settings::Known {
-                host_name: (*n).into(),
+                host_name: (*n).clone(),
                 zone: String::new(),
                 endpoint: "127.0.0.1:1".into(),
             })
@@ -365,7 +372,7 @@
     }
 
     pub fn leader(&self) -> Option<usize> {
-        (0..3).find(|&i| {
+        (0..self.nodes.len()).find(|&i| {
             self.nodes[i]
                 .as_ref()
                 .is_some_and(|n| n.core.leads().is_some())
@@ -374,7 +381,7 @@
 
     /// The controller that holds a machine.
     pub fn holder(&self, rig: &str) -> Option<usize> {
-        (0..3).find(|&i| {
+        (0..self.nodes.len()).find(|&i| {
             let Some(n) = &self.nodes[i] else {
                 return false;
             };
@@ -433,7 +440,21 @@
             .state
             .value(&job_key(name))
             .or(self.state.value(&past_key(name)))?;
-        serde_json::from_value(v.clone()).ok()
+        serde_json::from_value(v).ok()
+    }
+
+    /// Tasks done, as the job's key and all blocks together show them.
+    pub fn done(&self, name: &str) -> u32 {
+        let mut done = self.job(name).map(|j| j.d).unwrap_or_default();
+        for item in self.state.list("qb/block/").0 {
+            let block: BlockRecord = item.v.read().expect("a block");
+            for (job, tasks) in &block.d {
+                if block.j[*job] == name {
+                    done.union(tasks);
+                }
+            }
+        }
+        done.len()
     }
 
     pub fn is_done(&self, name: &str) -> bool {
@@ -442,9 +463,9 @@
 
     /// Ends every trouble and starts what is down.
     pub fn heal(&mut self) {
-        self.links = vec![GOOD; 3];
+        self.links = vec![GOOD; self.nodes.len()];
         self.workers.iter_mut().for_each(|m| m.cut = false);
-        for i in 0..3 {
+        for i in 0..self.nodes.len() {
             if self.nodes[i].is_none() {
                 self.start(i);
             }
@@ -471,7 +492,7 @@
     pub fn step(&mut self) {
         self.now += 100;
         self.state.pass(self.now);
-        for i in 0..3 {
+        for i in 0..self.nodes.len() {
             self.play_node(i);
         }
         for w in 0..self.workers.len() {
@@ -493,7 +514,7 @@
                 node.core.on_news(list, now, now);
             } else {
                 let (items, ledger) = self.state.list("qb/");
-                node.core.on_load(items, ledger, now, now);
+                node.core.on_load(items, ledger, ledger, now, now);
                 node.loaded = true;
             }
         }
@@ -527,7 +548,7 @@
             Action::Commit { op, txn } => return self.commit(i, core, op, txn, mood),
             Action::Peer { host, news } => {
                 let name = core.view.names.hosts.name(host).to_owned();
-                let Some(j) = ["n0", "n1", "n2"].iter().position(|n| *n == name) else {
+                let Some(j) = position(&name).filter(|j| *j < self.nodes.len()) else {
                     return false;
                 };
                 if !self.links[i].peers || !self.links[j].peers {
@@ -536,7 +557,7 @@
                 let theirs = self.clock(j);
                 if let Some(peer) = self.nodes[j].as_mut() {
                     peer.core.on_peer(*news, theirs);
-                    core.on_peer(peer.core.peer_news(theirs), now);
+                    core.on_peer(peer.core.peer_news(false, theirs), now);
                 }
             }
             Action::Catalog if self.cloud_up => core.on_catalog(catalog()),
@@ -638,14 +659,11 @@
             }
             Reply::Orders(_) => {}
             Reply::Elsewhere(Some(to)) => {
-                w.at = ["n0", "n1", "n2"]
-                    .iter()
-                    .position(|n| *n == to)
-                    .unwrap_or(0);
+                w.at = position(&to).unwrap_or(0);
                 w.next_report = now + 100;
             }
             Reply::Elsewhere(None) | Reply::Unavailable => {
-                w.at = (w.at + 1) % 3;
+                w.at = (w.at + 1) % self.nodes.len();
                 w.next_report = now + 1000;
             }
         }
@@ -756,6 +774,11 @@
     }
 }
 
+/// The number in a controller's name.
+fn position(name: &str) -> Option<usize> {
+    name.strip_prefix('n')?.parse().ok()
+}
+
 pub fn catalog() -> Catalog {
     serde_json::from_str(include_str!("catalog.json")).expect("good")
 }
