--- a/benches/costs.rs
+++ b/benches/costs.rs
@@ -1,5 +1,5 @@
-//! What a report, a peer's message, a submission and a tenth of a second of a whole busy world
-//! cost, on fakes and without I/O.
+//! What reports, peers' messages, polls, submissions, changes of the replica and looks at what is
+//! due cost at several sizes of the fleet, on fakes and without I/O.
 //! `cargo bench` prints microseconds; the work is the same in every run.
 
 #[path = "../tests/support/mod.rs"]
@@ -12,68 +12,118 @@
 use std::time::Instant;
 use support::World;
 
-fn show(what: &str, h: &Histogram<u64>) {
-    println!(
-        "{what:<28} n {:>6}  p50 {:>7.1} us  p99 {:>7.1} us",
-        h.len(),
-        h.value_at_quantile(0.5) as f64 / 1000.0,
-        h.value_at_quantile(0.99) as f64 / 1000.0
-    );
-}
+/// Durations of one kind of work, in nanoseconds.
+struct Cost(&'static str, Histogram<u64>);
+
+impl Cost {
+    fn new(what: &'static str) -> Cost {
+        let bounds = Histogram::<u64>::new_with_bounds(1, 10_000_000_000, 3);
+        Cost(what, bounds.expect("good bounds"))
+    }
+
+    fn measure<T>(&mut self, work: impl FnOnce() -> T) {
+        let began = Instant::now();
+        black_box(work());
+        self.1.saturating_record(began.elapsed().as_nanos() as u64);
+    }
 
-fn measure(h: &mut Histogram<u64>, work: impl FnOnce()) {
-    let began = Instant::now();
-    work();
-    h.saturating_record(began.elapsed().as_nanos() as u64);
+    fn show(&self) {
+        let us = |n: f64| n / 1000.0;
+        println!(
+            "  {:<34} n {:>6}  mean {:>8.1} us  p99 {:>8.1} us",
+            self.0,
+            self.1.len(),
+            us(self.1.mean()),
+            us(self.1.value_at_quantile(0.99) as f64)
+        );
+    }
 }
 
-fn main() {
-    let mut w = World::new(1, 40);
+fn world(machines: usize) -> World {
+    let mut w = World::sized(1, 3, machines);
     for team in &mut w.settings.platform.settings.teams {
-        team.cpus_max = 400.0;
+        team.cpus_max = machines as f64 * 4.0;
     }
+    w.settings.platform.settings.state.write_rps = 40.0;
+    w.settings.platform.settings.state.value_kb = 32.0;
+    w.settings.platform.settings.state.txn_ops = 24;
     (0..3).for_each(|i| w.crash(i));
     (0..3).for_each(|i| w.start(i));
     w.until(20_000, "a leader", |w| w.leader().is_some());
-    for n in 1..=300 {
-        let legs = if n == 1 { 100_000 } else { 20 };
-        let spec = w.spec(legs);
+    w.cloud_up = false;
+    for n in 1..=(machines as u32) {
+        let spec = w.spec(20);
         w.submit(n, spec);
     }
     w.run(20_000);
-    let new = || Histogram::<u64>::new_with_bounds(1, 10_000_000_000, 3).expect("good bounds");
-    let (mut report, mut step, mut peer, mut read) = (new(), new(), new(), new());
-    for _ in 0..300 {
-        measure(&mut step, || w.step());
+    w
+}
+
+fn costs(machines: usize) {
+    let mut w = world(machines);
+    let mut report = Cost::new("a worker's report");
+    let mut due = Cost::new("a look at what is due, leader");
+    let mut long = Cost::new("a peer's long message");
+    let mut short = Cost::new("a peer's short message");
+    let mut poll = Cost::new("a poll, once the replica is there");
+    let mut news = Cost::new("a tenth of a second of changes");
+    for _ in 0..100 {
+        let before = w.state.ledger();
+        w.step();
         let now = Ms(w.now);
         let leader = w.leader().unwrap_or(0);
-        for at in 0..w.workers.len() {
-            let mut r = w.workers[at].report();
+        for at in (0..w.workers.len()).step_by(machines / 50) {
             w.workers[at].tally += 1;
-            r.tally = w.workers[at].tally;
+            let r = w.workers[at].report();
             let Some(holder) = w.holder(&r.rig) else {
                 continue;
             };
-            let Some(node) = w.nodes[holder].as_mut() else {
-                continue;
-            };
-            measure(&mut report, || drop(black_box(node.core.on_report(r, now))));
-        }
-        if let Some(node) = w.nodes[leader].as_mut() {
-            let news = node.core.peer_news(true, now);
-            measure(&mut peer, || node.core.on_peer(news, now));
+            if let Some(node) = w.nodes[holder].as_mut() {
+                report.measure(|| node.core.on_report(r, now));
+            }
         }
-        let body = serde_json::json!({ "ref": "wk-000412", "route": "r", "crew": "blue" });
-        let body = body.to_string();
-        measure(&mut read, || drop(black_box(jobs::read(body.as_bytes()))));
+        let list = w.state.news("qb/", before);
+        let day = w.now;
+        let Some(node) = w.nodes[leader].as_mut() else {
+            continue;
+        };
+        // The same changes once more, as another controller would take them in.
+        node.core.view.ledger = before.min(node.core.view.ledger);
+        news.measure(|| node.core.on_news(list, now, now));
+        due.measure(|| node.core.tick(now, day));
+        long.measure(|| node.core.peer_news(true, now));
+        short.measure(|| node.core.peer_news(false, now));
+        poll.measure(|| {
+            let view = &node.core.view;
+            let ix = view.names.jobs.get("wk-000007")?;
+            let job = view.jobs.get(&ix)?;
+            let running = node.core.running(ix);
+            Some(jobs::answer("wk-000007", job.status, job.done.len(), running))
+        });
+    }
+    println!("{machines} machines, {} tasks running", w.running());
+    for cost in [&report, &due, &long, &short, &poll, &news] {
+        cost.show();
+    }
+}
+
+fn main() {
+    for machines in [50, 200, 700] {
+        costs(machines);
+    }
+    let mut submission = Cost::new("reading and judging a submission");
+    let w = World::new(1, 3);
+    let spec = serde_json::to_value(w.spec(100_000)).expect("plain data");
+    let mut body = spec;
+    body["ref"] = "wk-000412".into();
+    let body = body.to_string();
+    let core = w.core(0);
+    for _ in 0..2000 {
+        submission.measure(|| match jobs::read(body.as_bytes()) {
+            jobs::Read::Good(s) => core.never_runs(&s.spec),
+            jobs::Read::Bad(..) => unreachable!("the submission is good"),
+        });
     }
-    println!(
-        "{} machines with {} tasks, 300 jobs, one of them with 100000 tasks",
-        w.workers.len(),
-        w.running()
-    );
-    show("a worker's report", &report);
-    show("0.1 s of the whole world", &step);
-    show("a peer's message", &peer);
-    show("reading a submission", &read);
+    println!("a job of 100000 tasks");
+    submission.show();
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Its revision.
+    pub fn ledger(&self) -> u64 {
+        self.ledger
+    }
+
     /// How often keys with a prefix were written.
     pub fn writes_to(&self, starts: &str) -> usize {
         let of = |n: &&News| n.put.as_ref().is_some_and(|k| k.starts_with(starts));
