--- a/benches/costs.rs
+++ b/benches/costs.rs
@@ -98,7 +98,12 @@
             let ix = view.names.jobs.get("wk-000007")?;
             let job = view.jobs.get(&ix)?;
             let running = node.core.running(ix);
-            Some(jobs::answer("wk-000007", job.status, job.done.len(), running))
+            Some(jobs::answer(
+                "wk-000007",
+                job.status,
+                job.done.len(),
+                running,
+            ))
         });
     }
     println!("{machines} machines, {} tasks running", w.running());
--- a/src/api.rs
+++ b/src/api.rs
@@ -334,11 +334,7 @@
         return refuse(StatusCode::BAD_REQUEST, "not a peer's message");
     };
     let now = door.shared.now();
-    let answer = {
-        let mut core = door.shared.core.lock();
-        core.on_peer(news, now);
-        core.peer_news(false, now)
-    };
+    let answer = door.shared.core.lock().answer_peer(news, now);
     match rmp_serde::to_vec_named(&answer) {
         Ok(body) => HttpResponse::Ok().body(body),
         Err(_) => unavailable("no answer"),
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -138,10 +138,9 @@
                 }
                 *h != host
             });
-            if periodic || !agents.is_empty() {
-                // The leader needs to know the machines well, the others roughly.
-                let leads = self.view.lead.is_some_and(|l| l.host == host);
-                let long = periodic && (leads || self.peer_turn.is_multiple_of(4));
+            let begins = periodic && self.begins_with(host, now);
+            if begins || !agents.is_empty() {
+                let long = begins && self.tells_all(host);
                 let mut news = self.peer_news(long, now);
                 news.agents = agents;
                 out.push(Action::Peer {
@@ -153,6 +152,31 @@
         self.peer_turn += u32::from(periodic);
     }
 
+    /// Whether this controller speaks to a peer first. The answer tells as much as the request,
+    /// so one of the two suffices, unless it has not been heard for a while.
+    fn begins_with(&self, host: HostIx, now: Ms) -> bool {
+        let patience = (self.settings.options.peers_period_ms * 1.5) as u64;
+        let heard = self.peers.get(&host).and_then(|p| p.heard);
+        self.my_name() < self.view.names.hosts.name(host)
+            || heard.is_none_or(|h| now.since(h) > patience)
+    }
+
+    /// Whether a peer is told of all machines this time: the leader needs to know them well, the
+    /// others roughly.
+    fn tells_all(&self, host: HostIx) -> bool {
+        let leads = self.view.lead.is_some_and(|l| l.host == host);
+        leads || self.peer_turn.is_multiple_of(4)
+    }
+
+    /// The answer to a peer's message.
+    pub fn answer_peer(&mut self, news: PeerNews, now: Ms) -> PeerNews {
+        let host = self.view.names.hosts.get(&news.host);
+        let agents_only = !news.agents.is_empty();
+        self.on_peer(news, now);
+        let long = !agents_only && host.is_some_and(|h| self.tells_all(h));
+        self.peer_news(long, now)
+    }
+
     /// What this controller tells its peers; a long message tells of its machines.
     pub fn peer_news(&mut self, long: bool, now: Ms) -> PeerNews {
         self.strays.retain(|_, s| now.since(s.last) < 7000);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -561,8 +561,7 @@
                 }
                 let theirs = self.clock(j);
                 if let Some(peer) = self.nodes[j].as_mut() {
-                    peer.core.on_peer(*news, theirs);
-                    core.on_peer(peer.core.peer_news(false, theirs), now);
+                    core.on_peer(peer.core.answer_peer(*news, theirs), now);
                 }
             }
             Action::Catalog if self.cloud_up => core.on_catalog(catalog()),
