--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -144,7 +144,10 @@
     pub token: u64,
     /// When the grant became known.
     pub since: Ms,
+    /// Number of the newest report that showed this token.
     pub newest: (u64, u64),
+    /// Number of the newest one that did not.
+    pub unproven: (u64, u64),
     /// A report under this token came: no earlier holder is obeyed any more.
     pub fenced: bool,
     pub heard: Option<Ms>,
@@ -162,9 +165,11 @@
     pub heard_again: u32,
     /// Since when answers do not reach it although its reports come.
     pub deaf: Option<Ms>,
-    /// The latest report whose number is lower than one that came before: a late copy, or a
-    /// worker that has started anew.
+    /// The latest report without our token after one that showed it: a late copy, or a worker that
+    /// has begun anew.
     pub low: Option<(u64, u64, Ms)>,
+    /// Its worker has begun anew: only under a new token do its reports prove anything.
+    pub anew: bool,
 }
 
 impl Rt {
@@ -187,6 +192,8 @@
     pub recalled: bool,
     /// Fails what it starts.
     pub sick: bool,
+    /// Its worker has begun anew.
+    pub anew: bool,
 }
 
 /// What is known of a peer.
@@ -530,6 +537,7 @@
                 obeys: rt.obeys(),
                 recalled: rt.recall_at.is_some(),
                 sick: self.unfit(rt, now),
+                anew: rt.anew,
             });
         }
         let peer = self.peers.get(&grant.host)?;
@@ -540,6 +548,7 @@
             obeys: news.obeys,
             recalled: news.recalled,
             sick: news.sick,
+            anew: news.anew,
         })
     }
 
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -240,6 +240,7 @@
             obeys: rt.obeys(),
             recalled: rt.recall_at.is_some(),
             sick: self.unfit(rt, now),
+            anew: rt.anew,
             load: self.queue_load(m, now),
         }
     }
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -5,9 +5,19 @@
 /// A worker that has waited this long for an answer gives up (PROTOCOL, reports).
 const ANSWER_WAIT_MS: u64 = 4000;
 
-/// Whether a report with a low number comes from a worker that has started anew: the earlier one
-/// has been silent for its whole lease, and this is not the first such report.
-fn starts_anew(rt: &mut Rt, r: &Report, now: Ms) -> bool {
+/// What a report is worth.
+enum Worth {
+    /// It is old, or must not be answered.
+    Nothing,
+    /// It may show that a machine which was given up is back.
+    Revival,
+    /// It is answered with commands.
+    Answer,
+}
+
+/// Whether a report without our token comes from a worker that has begun anew: it is not the
+/// first one, and the numbers rise as time goes on.
+fn begins_anew(rt: &mut Rt, r: &Report, now: Ms) -> bool {
     let number = (r.shift, r.tally);
     match rt.low {
         Some((shift, tally, at)) if number > (shift, tally) && now.since(at) < 30_000 => {
@@ -76,27 +86,62 @@
             return Reply::Elsewhere(None);
         }
         let mut rt = self.rt.remove(&ix).unwrap_or_default();
-        let newer = (r.shift, r.tally) > rt.newest;
-        let reply = if newer && !rt.lost {
-            self.strays.remove(&r.rig);
-            let orders = self.answer(ix, &mut rt, &r, Token(grant.stamp), now);
-            rt.last_ok = Some(now);
-            self.counters.reports += 1;
-            Reply::Orders(Orders {
-                baton: grant.stamp,
-                orders,
-            })
-        } else if rt.lost && (newer || starts_anew(&mut rt, &r, now)) {
-            self.revive(ix, &mut rt, &r, grant.stamp, now)
-        } else {
-            // A report that was held back on its way, or a late copy: it renews nothing and
-            // proves nothing, and its worker no longer waits for an answer.
-            Reply::Unavailable
+        let reply = match self.judge(ix, &mut rt, &r, now) {
+            Worth::Nothing => Reply::Unavailable,
+            Worth::Revival => self.revive(ix, &mut rt, &r, grant.stamp, now),
+            Worth::Answer => {
+                self.strays.remove(&r.rig);
+                let orders = self.answer(ix, &mut rt, &r, Token(grant.stamp), now);
+                rt.last_ok = Some(now);
+                self.counters.reports += 1;
+                Reply::Orders(Orders {
+                    baton: grant.stamp,
+                    orders,
+                })
+            }
         };
         self.rt.insert(ix, rt);
         reply
     }
 
+    /// What a report is worth. Reports may be copies from long ago, of this life of the worker or
+    /// of an earlier one.
+    fn judge(&self, ix: MachineIx, rt: &mut Rt, r: &Report, now: Ms) -> Worth {
+        let number = (r.shift, r.tally);
+        if r.baton == rt.token {
+            // Made under this grant: the numbers tell which is the newest. A copy renews nothing
+            // and proves nothing, and nobody waits for its answer.
+            return match (number > rt.newest, rt.lost) {
+                (false, _) => Worth::Nothing,
+                (true, true) => Worth::Revival,
+                (true, false) => Worth::Answer,
+            };
+        }
+        if rt.fenced {
+            // A worker never forgets a token, so this is a copy, or a worker that began anew.
+            // Numbers cannot tell the lives of a worker apart, only a new grant can.
+            if begins_anew(rt, r, now) && !rt.anew {
+                info!(rig = r.rig, "a worker began anew");
+                rt.anew = true;
+            }
+            return Worth::Nothing;
+        }
+        if rt.lost {
+            return Worth::Revival;
+        }
+        // Until the machine obeys, our answers may or may not reach it. When it still does not
+        // after all this time, they end, so that the lease of what it might run ends too.
+        let listed = self
+            .view
+            .machines
+            .get(&ix)
+            .is_some_and(|m| !m.queue.is_empty());
+        if listed && now.since(rt.since) > self.settings.stranger_gone_ms() {
+            return Worth::Nothing;
+        }
+        Worth::Answer
+    }
+
     /// A machine that was given up comes back. Its tasks may be bound elsewhere by now, so it
     /// is answered again only once its queue is empty and it shows a session without tasks.
     pub(crate) fn revive(
@@ -119,7 +164,11 @@
         *rt = Rt {
             token,
             since: now,
-            newest: (r.shift, r.tally),
+            newest: if r.baton == token {
+                (r.shift, r.tally)
+            } else {
+                rt.newest
+            },
             heard: Some(now),
             last_ok: Some(now),
             ..Rt::default()
@@ -154,12 +203,16 @@
         if r.shift > rt.newest.0 && rt.newest.0 > 0 {
             warn!(rig = r.rig, shift = r.shift, "machine began a new session");
         }
-        rt.newest = (r.shift, r.tally);
-        rt.heard = Some(now);
-        rt.fenced |= r.baton == token.0;
-        // A report proves what is absent once no earlier holder can be obeyed: the machine shows
-        // our token, or every earlier authority and then the worker's lease are over.
-        let sure = rt.fenced || now.since(rt.since) > self.settings.stranger_gone_ms();
+        let number = (r.shift, r.tally);
+        if r.baton == token.0 {
+            rt.newest = number;
+            rt.fenced = true;
+            rt.heard = Some(now);
+        } else if number > rt.unproven {
+            // A copy does not make a machine seem alive.
+            rt.unproven = number;
+            rt.heard = Some(now);
+        }
         rt.recall_at = r
             .recall_s
             .filter(|s| s.is_finite())
@@ -282,7 +335,7 @@
                 .get(&e.task.job)
                 .filter(|j| j.status == JobStatus::Pending);
             let Some(job) = pending else {
-                if !on_it && sure && !ended_before(e) {
+                if !on_it && rt.fenced && !ended_before(e) {
                     new_ends.push((*e, End::Free));
                 }
                 continue;
@@ -291,7 +344,7 @@
                 continue;
             }
             if leaving || machine.evict.contains(e) {
-                if sure {
+                if rt.fenced {
                     new_ends.push((*e, End::Free));
                 }
                 continue;
--- a/src/leader/grants.rs
+++ b/src/leader/grants.rs
@@ -79,6 +79,8 @@
                         "holder silent"
                     } else if reborn.contains(&g.host) && self.reborn(g.host, g.boot, now) {
                         "holder restarted"
+                    } else if self.begun_anew(id, now) {
+                        "a worker began anew"
                     } else if strays.contains_key(&id) {
                         "holder cut off from its workers"
                     } else {
@@ -86,9 +88,9 @@
                     }
                 }
             };
-            let same = grant
-                .map(|g| g.host)
-                .filter(|h| why == "holder replaced" && usable.contains(h));
+            let same = grant.map(|g| g.host).filter(|h| {
+                matches!(why, "holder replaced" | "a worker began anew") && usable.contains(h)
+            });
             let to = same.or_else(|| strays.get(&id).copied()).or_else(|| {
                 usable
                     .iter()
@@ -144,6 +146,17 @@
         Some(txn)
     }
 
+    /// Whether the worker of some machine of a block has begun anew. Old copies of its earlier
+    /// life's reports could pass for new ones for as long as the token is the same.
+    fn begun_anew(&self, id: BlockId, now: Ms) -> bool {
+        let granted = self.lead.granted.get(&id);
+        granted.is_some_and(|g| now.since(g.1) > 3000)
+            && self.view.blocks.get(&id).is_some_and(|b| {
+                let anew = |m: &MachineIx| self.machine_info(*m, now).is_some_and(|i| i.anew);
+                b.machines.iter().any(anew)
+            })
+    }
+
     /// Blocks whose machines report to somebody else because their holder does not answer them.
     ///
     /// A single machine of many says nothing of its holder: one that hears no answers at all goes
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -589,6 +589,8 @@
     pub recalled: bool,
     /// Whether the holder wants it replaced.
     pub sick: bool,
+    /// Whether its worker has begun anew under this grant.
+    pub anew: bool,
     /// Queue load, seconds of work per CPU.
     pub load: f64,
 }
--- /dev/null
+++ b/tests/addition.rs
@@ -0,0 +1,340 @@
+//! Stories of the addition to the rules: nobody is starved, machines that do not hear, late
+//! copies of reports, controllers that are stranded with their workers, and lives that follow
+//! one another within a fraction of a second; with three controllers and with five.
+
+mod support;
+
+use quillbend::clock::Ms;
+use quillbend::wire::{JobStatus, Urgency};
+use support::{Mood, World};
+
+/// A world that has settled: somebody leads and every machine is held and obeys.
+fn settled(seed: u64, nodes: usize, machines: usize) -> World {
+    let mut w = World::sized(seed, nodes, machines);
+    w.until(5000, "a leader", |w| w.leader().is_some());
+    w.until(8000, "every machine is held", |w| {
+        w.workers.iter().all(|m| w.holder(&m.rig.name).is_some())
+    });
+    w.run(3000);
+    w
+}
+
+/// A settled world in which all tasks of one job run, each for `run_ms`.
+fn busy(seed: u64, nodes: usize, run_ms: u64) -> (World, String) {
+    let mut w = settled(seed, nodes, 6);
+    w.run_ms = run_ms;
+    let job = w.submit(1, w.spec(16));
+    w.until(15_000, "all run", |w| w.running() == 16);
+    (w, job)
+}
+
+/// Positions of the machines that run something.
+fn with_tasks(w: &World) -> Vec<usize> {
+    let busy = |&i: &usize| !w.workers[i].tasks.is_empty();
+    (0..w.workers.len()).filter(busy).collect()
+}
+
+#[test]
+fn a_large_job_behind_a_stream_of_urgent_work_begins_within_four_minutes() {
+    let mut w = settled(1, 3, 4);
+    w.run_ms = 6000;
+    let mut large = w.spec(200);
+    large.urgency = Urgency::BestEffort;
+    large.vcpus = 2.0;
+    let large = w.submit(1, large);
+    let submitted = w.now;
+    // Three CPUs' worth of urgent work for each CPU that the team may use.
+    for n in 2..250 {
+        let mut urgent = w.spec(8);
+        urgent.urgency = Urgency::Urgent;
+        w.submit(n, urgent);
+        w.run(1000);
+    }
+    let begun = w.starts.iter().find(|s| s.1.starts_with(&large));
+    let begun = begun.map(|s| s.0 - submitted).expect("it begins");
+    assert!(begun < 240_000, "after {begun} ms");
+    w.assert_kept();
+}
+
+#[test]
+fn a_flood_in_one_team_leaves_the_other_its_guarantee() {
+    let mut w = settled(2, 3, 6);
+    w.cloud_up = false;
+    for n in 1..=20 {
+        let mut flood = w.spec(40);
+        flood.urgency = Urgency::Urgent;
+        w.submit(n, flood);
+    }
+    w.run(10_000);
+    let mut theirs = w.spec(8);
+    theirs.crew = "red".into();
+    let theirs = w.submit(30, theirs);
+    w.until(60_000, "the other team's job is done", |w| {
+        w.is_done(&theirs)
+    });
+    w.assert_kept();
+}
+
+#[test]
+fn a_new_machine_that_hears_nothing_is_given_nothing_and_goes_back() {
+    let mut w = settled(3, 3, 2);
+    w.run_ms = 20_000;
+    let mut long = w.spec(60);
+    long.ride_s = 20.0;
+    w.submit(1, long);
+    w.until(30_000, "machines come", |w| w.workers.len() > 2);
+    let deaf = w.workers.len() - 1;
+    w.workers[deaf].deaf = true;
+    let rig = w.workers[deaf].rig.name.clone();
+    let grants = w.state.writes_to("qb/grant/");
+    w.until(150_000, "it is returned", |w| w.returned.contains(&rig));
+    assert!(w.starts.iter().all(|s| s.2 != rig));
+    let moved = w.state.writes_to("qb/grant/") - grants;
+    assert!(moved <= 3, "its wandering moved {moved} grants");
+    w.assert_kept();
+}
+
+#[test]
+fn tasks_of_a_machine_that_no_longer_hears_run_again_after_its_lease_and_once() {
+    for nodes in [3, 5] {
+        let (mut w, job) = busy(4, nodes, 30_000);
+        let at = with_tasks(&w)[0];
+        w.workers[at].deaf = true;
+        let since = w.now;
+        let rig = w.workers[at].rig.name.clone();
+        w.until(150_000, "done", |w| w.is_done(&job));
+        w.assert_kept();
+        let again: Vec<_> = w.starts.iter().filter(|s| s.0 > since).collect();
+        assert!(again.iter().all(|s| s.0 > since + 9000), "{again:?}");
+        assert!(
+            again.iter().all(|s| s.2 != rig),
+            "bound where nothing arrives"
+        );
+    }
+}
+
+#[test]
+fn a_machine_that_hears_again_is_used_again() {
+    let mut w = settled(5, 3, 1);
+    w.cloud_up = false;
+    w.workers[0].deaf = true;
+    let job = w.submit(1, w.spec(8));
+    w.run(40_000);
+    assert_eq!(w.starts.len(), 0);
+    w.workers[0].deaf = false;
+    w.until(90_000, "done", |w| w.is_done(&job));
+    w.assert_kept();
+}
+
+#[test]
+fn late_copies_of_reports_change_nothing() {
+    for (seed, ages) in [
+        (6, vec![700, 2500]),
+        (7, vec![5000, 11_000]),
+        (8, vec![13_000, 25_000]),
+        (9, vec![40_000, 60_000, 300]),
+    ] {
+        let mut w = settled(seed, 3, 6);
+        w.copies = ages.clone();
+        w.run_ms = 12_000;
+        let jobs: Vec<String> = (1..=3).map(|n| w.submit(n, w.spec(16))).collect();
+        w.run(10_000);
+        let grants = w.state.writes_to("qb/grant/");
+        w.run(20_000);
+        assert_eq!(
+            w.state.writes_to("qb/grant/"),
+            grants,
+            "a copy began a takeover"
+        );
+        // A takeover, and a restart of all, with copies from before among the reports after.
+        let dead = (w.leader().expect("leads") + 1) % 3;
+        w.crash(dead);
+        w.run(9000);
+        w.start(dead);
+        (0..3).for_each(|i| w.crash(i));
+        w.run(300);
+        (0..3).for_each(|i| w.start(i));
+        w.until(150_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
+        w.assert_kept();
+        assert_eq!(w.starts.len(), 48, "copies {ages:?} lost running work");
+    }
+}
+
+#[test]
+fn a_late_copy_revives_no_machine_that_is_gone() {
+    let (mut w, job) = busy(10, 3, 20_000);
+    w.copies = vec![3000, 9000, 16_000, 30_000];
+    w.run(4000);
+    let at = with_tasks(&w)[0];
+    let gone = w.workers.remove(at).rig.name;
+    // It goes with nothing said, while the leader and a memory of it change.
+    let leader = w.leader().expect("leads");
+    w.crash(leader);
+    w.run(2000);
+    w.start(leader);
+    w.until(120_000, "done", |w| w.is_done(&job));
+    w.run(45_000);
+    w.assert_kept();
+    for i in 0..3 {
+        let view = &w.core(i).view;
+        let there = view.names.machines.get(&gone);
+        assert!(!there.is_some_and(|m| view.machines.contains_key(&m)));
+    }
+}
+
+#[test]
+fn a_stranded_controller_stops_in_time_and_hands_over_what_runs() {
+    for (nodes, leads) in [(3, false), (3, true), (5, false), (5, true)] {
+        let (mut w, job) = busy(11, nodes, 60_000);
+        let leader = w.leader().expect("leads");
+        let i = if leads { leader } else { (leader + 1) % nodes };
+        let cut = w.now;
+        w.strand(i);
+        w.run(4000);
+        assert!(!w.core(i).ready(Ms(w.now)), "users are sent to it");
+        let cancel_ms = w.settings.platform.settings.workers.cancel_s * 1000.0;
+        while w.core(i).has_authority(Ms(w.now)) {
+            w.step();
+            assert!((w.now - cut) as f64 <= cancel_ms, "it acts for too long");
+        }
+        w.until(40_000, "others hold its machines", |w| {
+            w.workers.iter().all(|m| w.holder(&m.rig.name).is_some())
+        });
+        w.until(60_000, "done", |w| w.is_done(&job));
+        w.assert_kept();
+        assert_eq!(w.starts.len(), 16, "running work was lost");
+    }
+}
+
+#[test]
+fn work_cancelled_behind_a_stranded_controllers_back_is_gone_in_time() {
+    let (mut w, job) = busy(12, 3, 120_000);
+    let i = (w.leader().expect("leads") + 1) % 3;
+    w.strand(i);
+    w.run(1000);
+    w.cancel(&job);
+    let cancel_s = w.settings.platform.settings.workers.cancel_s;
+    w.run((cancel_s * 1000.0) as u64);
+    assert_eq!(w.running(), 0);
+    assert_eq!(w.job(&job).map(|j| j.st), Some(JobStatus::Withdrawn));
+    w.assert_kept();
+}
+
+#[test]
+fn controllers_back_within_a_moment_amid_an_election_lose_nothing() {
+    for (seed, nodes) in [(13, 3), (14, 5), (15, 5)] {
+        let (mut w, job) = busy(seed, nodes, 40_000);
+        // Writes of the earlier lives arrive when the later ones have begun.
+        (0..nodes).for_each(|i| w.links[i].state = Mood::Late(900));
+        w.run(500);
+        let leader = w.leader().expect("leads");
+        w.crash(leader);
+        w.run(2700);
+        // The others are about to elect; now everybody is replaced within 300 ms.
+        w.start(leader);
+        for i in 0..nodes {
+            w.crash(i);
+            w.run(100);
+            w.start(i);
+            w.links[i].state = Mood::Good;
+            w.run(200);
+        }
+        w.until(60_000, "done", |w| w.is_done(&job));
+        w.assert_kept();
+        assert_eq!(w.starts.len(), 16, "running work was lost");
+    }
+}
+
+#[test]
+fn a_machine_back_within_a_moment_runs_its_tasks_again_and_is_used() {
+    let (mut w, job) = busy(16, 3, 15_000);
+    let at = with_tasks(&w)[0];
+    let rig = w.workers[at].rig.name.clone();
+    let lost = w.workers[at].tasks.len();
+    w.restart_machine(at);
+    w.until(90_000, "done", |w| w.is_done(&job));
+    w.assert_kept();
+    assert_eq!(w.starts.len(), 16 + lost);
+    let again = w.submit(2, w.spec(40));
+    w.cloud_up = false;
+    let before = w.now;
+    w.until(120_000, "done", |w| w.is_done(&again));
+    w.assert_kept();
+    let used = w.starts.iter().any(|s| s.0 > before && s.2 == rig);
+    assert!(used || w.returned.contains(&rig), "its new life is ignored");
+}
+
+#[test]
+fn refused_connections_between_controllers_change_no_leader_and_no_holder() {
+    for nodes in [3, 5] {
+        let (mut w, job) = busy(17, nodes, 30_000);
+        let (leader, grants) = (w.leader(), w.state.writes_to("qb/grant/"));
+        (0..nodes).for_each(|i| w.links[i].peers = false);
+        w.run(20_000);
+        assert_eq!(w.leader(), leader);
+        assert_eq!(w.state.writes_to("qb/grant/"), grants);
+        w.heal();
+        w.until(60_000, "done", |w| w.is_done(&job));
+        w.assert_kept();
+        assert_eq!(w.starts.len(), 16);
+    }
+}
+
+#[test]
+fn the_smaller_side_of_a_cut_between_five_does_not_take_the_lead() {
+    let mut w = settled(18, 5, 6);
+    let leader = w.leader().expect("leads");
+    // Two of five hear each other and nobody else; all reach the state service.
+    let two = [(leader + 1) % 5, (leader + 2) % 5];
+    w.side = (0..5).map(|i| u8::from(two.contains(&i))).collect();
+    for _ in 0..300 {
+        w.step();
+        let leads = w.leader();
+        assert!(
+            !leads.is_some_and(|l| two.contains(&l)),
+            "{leads:?} took it"
+        );
+    }
+}
+
+#[test]
+fn chance_troubles_keep_the_rules_with_five_controllers() {
+    use rand::{Rng, SeedableRng};
+    for seed in 0..8 {
+        let mut luck = rand::rngs::SmallRng::seed_from_u64(500 + seed);
+        let mut w = settled(500 + seed, 5, 8);
+        if seed % 2 == 0 {
+            w.copies = vec![1500, 14_000];
+        }
+        let jobs: Vec<String> = (1..=4).map(|n| w.submit(n, w.spec(20))).collect();
+        for _ in 0..12 {
+            let i = luck.random_range(0..5);
+            match luck.random_range(0..9) {
+                0 => w.crash(i),
+                1 => w.links[i].state = Mood::Refuses,
+                2 => w.links[i].state = Mood::Late(luck.random_range(200..8000)),
+                3 => w.links[i].peers = false,
+                4 => w.links[i].workers = false,
+                5 => w.strand(i),
+                n => {
+                    let all = w.workers.len();
+                    if all > 0 {
+                        let at = luck.random_range(0..all);
+                        match n {
+                            6 => w.workers[at].cut = true,
+                            7 => w.workers[at].deaf = true,
+                            _ => w.restart_machine(at),
+                        }
+                    }
+                }
+            }
+            w.run(luck.random_range(300..9000));
+            if luck.random_bool(0.6) {
+                w.heal();
+            }
+        }
+        w.heal();
+        w.until(200_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
+        w.assert_kept();
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -222,9 +222,13 @@
     pub tasks: Vec<Task>,
     pub at: usize,
     next_report: u64,
+    /// A report is under way until then.
+    silent_until: u64,
     answered: u64,
     /// No report leaves it and nothing reaches it.
     pub cut: bool,
+    /// Its reports arrive, but no answer reaches it.
+    pub deaf: bool,
     /// It fails whatever it starts.
     pub sick: bool,
     pub recall_s: Option<f64>,
@@ -268,6 +272,11 @@
     /// How much faster than true time each controller's steady clock runs.
     pub drift: Vec<f64>,
     pub settings: Settings,
+    /// Of each report copies arrive this many ms later, at any controller.
+    pub copies: Vec<u64>,
+    /// Controllers on different sides do not reach each other.
+    pub side: Vec<u8>,
+    late_reports: Vec<(u64, usize, Report)>,
     bookings: HashMap<String, Vec<String>>,
     rng: SmallRng,
     rented: u32,
@@ -301,6 +310,9 @@
             returned: BTreeSet::new(),
             drift: vec![0.0; nodes],
             settings,
+            copies: Vec::new(),
+            side: vec![0; nodes],
+            late_reports: Vec::new(),
             bookings: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             rented: 0,
@@ -333,8 +345,10 @@
             tasks: Vec::new(),
             at: self.rented as usize % self.nodes.len(),
             next_report: self.now + boot,
+            silent_until: 0,
             answered: self.now + boot,
             cut: false,
+            deaf: false,
             sick: false,
             recall_s: None,
         });
@@ -466,10 +480,28 @@
         self.job(name).is_some_and(|j| j.st == JobStatus::Done)
     }
 
+    /// A machine that is off for a moment: its worker starts anew, and everything on it is gone.
+    pub fn restart_machine(&mut self, at: usize) {
+        let w = &mut self.workers[at];
+        (w.shift, w.tally, w.baton) = (1, 0, 0);
+        w.tasks.clear();
+        w.answered = self.now;
+        w.next_report = self.now + 200;
+    }
+
+    /// Cuts a controller from the state service and from the others, but not from its workers.
+    pub fn strand(&mut self, i: usize) {
+        self.links[i].state = Mood::Refuses;
+        self.links[i].watch_hangs = true;
+        self.links[i].peers = false;
+    }
+
     /// Ends every trouble and starts what is down.
     pub fn heal(&mut self) {
         self.links = vec![GOOD; self.nodes.len()];
-        self.workers.iter_mut().for_each(|m| m.cut = false);
+        self.workers
+            .iter_mut()
+            .for_each(|m| (m.cut, m.deaf) = (false, false));
         for i in 0..self.nodes.len() {
             if self.nodes[i].is_none() {
                 self.start(i);
@@ -503,6 +535,14 @@
         for w in 0..self.workers.len() {
             self.play_worker(w);
         }
+        let due = self.late_reports.extract_if(.., |r| r.0 <= self.now);
+        for (_, node, report) in due.collect::<Vec<_>>() {
+            let clock = self.clock(node);
+            if let Some(n) = self.nodes[node].as_mut() {
+                // Whatever is answered to a copy, nobody waits for it.
+                n.core.on_report(report, clock);
+            }
+        }
         self.check();
     }
 
@@ -556,7 +596,8 @@
                 let Some(j) = position(&name).filter(|j| *j < self.nodes.len()) else {
                     return false;
                 };
-                if !self.links[i].peers || !self.links[j].peers {
+                let apart = self.side[i] != self.side[j];
+                if apart || !self.links[i].peers || !self.links[j].peers {
                     return false;
                 }
                 let theirs = self.clock(j);
@@ -639,19 +680,30 @@
                 changed = true;
             }
         }
-        if (now < w.next_report && !changed) || w.cut {
+        if (now < w.next_report && !changed) || now < w.silent_until || w.cut {
             return;
         }
         w.next_report = now + 2000;
         w.tally += 1;
         let report = w.report();
         let node = w.at;
+        for &age in &self.copies {
+            let to = self.rng.random_range(0..self.nodes.len());
+            self.late_reports.push((now + age, to, report.clone()));
+        }
         let clock = self.clock(node);
         let reply = match (&mut self.nodes[node], self.links[node].workers) {
             (Some(n), true) => n.core.on_report(report, clock),
             _ => Reply::Unavailable,
         };
         let w = &mut self.workers[at];
+        if w.deaf {
+            // It waits for the answer, gives up, and goes on to the next controller.
+            w.at = (w.at + 1) % self.nodes.len();
+            w.next_report = now + 5000;
+            w.silent_until = w.next_report;
+            return;
+        }
         match reply {
             Reply::Orders(o) if o.baton >= w.baton => {
                 if o.baton > w.baton {
