--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -168,6 +168,8 @@
     /// The latest report without our token after one that showed it: a late copy, or a worker that
     /// has begun anew.
     pub low: Option<(u64, u64, Ms)>,
+    /// Since when ended tasks wait to be cleared.
+    pub clear_since: Option<Ms>,
     /// Its worker has begun anew: only under a new token do its reports prove anything.
     pub anew: bool,
 }
@@ -328,8 +330,17 @@
     pub(crate) day_ms: u64,
     pub(crate) outbox: Vec<(HostIx, crate::wire::Agent)>,
     pub(crate) started: Option<Ms>,
+    last_tick: Ms,
+    /// When this controller was last kept from looking at what is due.
+    stalled: Option<Ms>,
+    next_metrics: Ms,
 }
 
+/// A gap between two looks at what is due that shows that the controller cannot keep up, ms.
+const STALL_MS: u64 = 1000;
+/// Interval of the counters in the log, ms.
+const METRICS_MS: u64 = 30_000;
+
 impl Core {
     /// A controller that knows nothing yet. `seed` makes its random choices and its life's number.
     pub fn new(settings: Settings, seed: u64) -> Self {
@@ -387,9 +398,38 @@
             day_ms: 0,
             outbox: Vec::new(),
             started: None,
+            last_tick: Ms(0),
+            stalled: None,
+            next_metrics: Ms(0),
         }
     }
 
+    /// Writes the counters to the log.
+    fn log_metrics(&self) {
+        let c = &self.counters;
+        info!(
+            machines = self.rt.len(),
+            reports = c.reports,
+            redirects = c.redirects,
+            launches = c.launches,
+            done = c.done,
+            failed = c.failed,
+            freed = c.freed,
+            bound = c.bound,
+            evicted = c.evicted,
+            steals = c.steals,
+            hops = c.hops,
+            hints = c.hints,
+            packs = c.packs,
+            stolen = c.stolen_tasks,
+            conflicts = c.conflicts,
+            refused = c.refused,
+            unanswered = c.unanswered,
+            lost = c.lost_machines,
+            "counters"
+        );
+    }
+
     /// This controller's name.
     pub fn my_name(&self) -> &str {
         &self.settings.platform.host_name
@@ -405,6 +445,14 @@
         let mut out = Vec::new();
         self.day_ms = day_ms;
         let started = *self.started.get_or_insert(now);
+        if now.since(self.last_tick) > STALL_MS {
+            self.stalled = Some(now);
+        }
+        self.last_tick = now;
+        if now >= self.next_metrics {
+            self.next_metrics = now.plus(METRICS_MS);
+            self.log_metrics();
+        }
         if now >= self.next_catalog {
             let wait = if self.catalog_known() { 30_000 } else { 1000 };
             self.next_catalog = now.plus(wait);
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -5,6 +5,11 @@
 /// A worker that has waited this long for an answer gives up (PROTOCOL, reports).
 const ANSWER_WAIT_MS: u64 = 4000;
 
+/// Longest time that an ended task waits to be cleared for the sake of fewer reports, ms.
+const CLEAR_MS: u64 = 5000;
+/// Ended tasks that wait at most.
+const CLEARED: usize = 8;
+
 /// What a report is worth.
 enum Worth {
     /// It is old, or must not be answered.
@@ -227,6 +232,7 @@
         // report shows is taken in all the same: what seemed absent could be stolen and run twice.
         let size = self.size(machine);
         let leaving = machine.leaving || rt.sick || rt.recall_at.is_some() || rt.deaf.is_some();
+        let mut clears: Vec<Order> = Vec::new();
         let mut used = Room::default();
         let mut new_ends: Vec<(Entry, End)> = Vec::new();
         let mut ratios: Vec<(ClassIx, f64)> = Vec::new();
@@ -241,18 +247,18 @@
             let Some(task) = listed else {
                 // Not in the queue: its ending is durable already, or another attempt took its
                 // place. Either way nothing here depends on it any more.
-                orders.push(if ended {
-                    Order::Clear {
+                if ended {
+                    clears.push(Order::Clear {
                         leg: leg.leg.clone(),
                         attempt: leg.attempt,
-                    }
+                    });
                 } else {
-                    Order::Stop {
+                    orders.push(Order::Stop {
                         leg: leg.leg.clone(),
                         attempt: leg.attempt,
                         leeway_s: 0.0,
-                    }
-                });
+                    });
+                }
                 if let Some(task) = task {
                     rt.legs.insert(task, leg_rt(leg, None));
                 }
@@ -363,6 +369,17 @@
                 attempt: e.attempt,
             });
         }
+        // A cleared task is a change, and every change is one more report: it waits for a command
+        // that changes the machine's tasks anyway, but not for long.
+        if clears.is_empty() {
+            rt.clear_since = None;
+        } else if !orders.is_empty()
+            || clears.len() >= CLEARED
+            || now.since(*rt.clear_since.get_or_insert(now)) > CLEAR_MS
+        {
+            rt.clear_since = None;
+            orders.append(&mut clears);
+        }
         self.count_running(&before, false);
         self.count_running(&rt.legs, true);
         for (class, ratio) in ratios {
@@ -375,6 +392,14 @@
         orders
     }
 
+    /// Whether answers may well be late because this controller is: it was kept from its own
+    /// work, or a good part of its machines seem to miss answers at the same time.
+    fn slow(&self, now: Ms) -> bool {
+        let missing = self.rt.values().filter(|rt| rt.unheard > 0).count();
+        self.stalled.is_some_and(|at| now.since(at) < 15_000)
+            || missing > (self.rt.len() / 10).max(2)
+    }
+
     /// Finds out whether answers reach a machine whose reports arrive.
     ///
     /// A worker that had our answer comes back to us with its very next report and without
@@ -406,7 +431,7 @@
         } else if !shown || !in_time || (!obeyed && rt.last_ok.is_some_and(|ok| ok > rt.since)) {
             rt.unheard += 1;
         }
-        if rt.unheard >= 3 && rt.deaf.is_none() {
+        if rt.unheard >= 3 && rt.deaf.is_none() && !self.slow(now) {
             warn!(
                 rig = r.rig,
                 "reports come, but answers do not reach the machine"
--- a/src/leader/grants.rs
+++ b/src/leader/grants.rs
@@ -127,7 +127,9 @@
         if give.is_empty() {
             return None;
         }
-        give.truncate(self.settings.platform.settings.state.txn_ops);
+        // While the budget of changes is short, a transaction of many finds room last of all.
+        let most = self.settings.platform.settings.state.txn_ops;
+        give.truncate(if self.refused_lately(now) { 3 } else { most });
         let mut txn = Txn::default();
         for (id, host, why) in give {
             if let (Some(g), "holder cut off from its workers") = (self.view.grants.get(&id), why) {
