A steal ends after a few hops, and no more are sent than victims may serve

A thief's steals went round all of 700 machines, most of it in messages between the controllers, until no time was left for reports; workers lost their leases, all at once and again and again. Ruled out: the cost of a report (5 us of our own code) and of planning.

--- a/src/leader/rounds.rs
+++ b/src/leader/rounds.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Steals that a controller sends in a round for each victim that it knows.
+const STEALS_A_VICTIM: usize = 4;
+
 impl Core {
     pub(crate) fn factors(&self) -> Factors {
         let o = &self.settings.options;
@@ -87,14 +90,26 @@
                 Role::Thief { .. } | Role::Balanced => {}
             }
         }
-        let thieves: Vec<(MachineIx, u32)> = round.steals.iter().map(|(&m, &n)| (m, n)).collect();
+        // Own machines that have nothing to give are known to be no victims.
+        let packs = &round.packs;
+        round
+            .victims
+            .retain(|(m, _)| packs.contains_key(m) || !self.rt.contains_key(m));
+        // The lightest ask first, and no more is asked for than the victims may have to give.
+        let mut thieves: Vec<(MachineIx, u32)> =
+            round.steals.iter().map(|(&m, &n)| (m, n)).collect();
+        thieves.sort_by(|a, b| b.1.cmp(&a.1).then(a.0.cmp(&b.0)));
+        let mut left = round.victims.len() * STEALS_A_VICTIM;
         self.lead.round = Some(round);
         for (thief, steals) in thieves {
             for _ in 0..steals.min(16) {
-                match self.steal(thief, 0, &[]) {
-                    Some(a) => send.push(a),
-                    None => break,
-                }
+                let steal = match left {
+                    0 => None,
+                    _ => self.steal(thief, 0, &[]),
+                };
+                let Some(agent) = steal else { break };
+                left -= 1;
+                send.push(agent);
             }
         }
         self.deliver(send, now);
@@ -107,6 +122,11 @@
         hops: u32,
         route: &[MachineIx],
     ) -> Option<Agent> {
+        // In a large fleet nobody who has nothing learns of it before hundreds have been asked:
+        // hops without end would take the controllers more time than all reports together.
+        if f64::from(hops) > self.settings.options.balance_hops_most {
+            return None;
+        }
         let factors = self.factors();
         let round = self.lead.round.as_ref()?;
         let far = f64::from(hops) > round.all.len() as f64 * factors.hops;
--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -338,3 +338,28 @@
         w.assert_kept();
     }
 }
+
+#[test]
+fn steals_in_a_large_busy_fleet_end_after_a_few_hops() {
+    // On a grown deployment, thieves that found nothing sent their steals round all machines:
+    // 357000 hops for 25 packs, and no time was left for reports.
+    let mut w = World::sized(19, 3, 120);
+    w.settings.platform.settings.teams[0].cpus_max = 500.0;
+    (0..3).for_each(|i| w.crash(i));
+    (0..3).for_each(|i| w.start(i));
+    w.cloud_up = false;
+    w.run_ms = 20_000;
+    for n in 1..=10 {
+        let mut spec = w.spec(60);
+        spec.ride_s = 10.0 + f64::from(n) * 3.0;
+        w.submit(n, spec);
+    }
+    w.run(60_000);
+    let count = |f: fn(&quillbend::core::Counters) -> u64| -> u64 {
+        (0..3).map(|i| f(&w.core(i).counters)).sum()
+    };
+    let (steals, hops) = (count(|c| c.steals), count(|c| c.hops));
+    assert!(hops <= steals * 13, "{hops} hops of {steals} steals");
+    assert!(steals < 12 * 120 * 4, "{steals} steals in 12 rounds");
+    w.assert_kept();
+}
