--- a/src/leader/edits.rs
+++ b/src/leader/edits.rs
@@ -125,7 +125,7 @@
     fn expected_bytes(&self, frame: FrameIx) -> usize {
         let cpus = self.frames.get(&frame).map_or(8.0, |f| f.vcpus);
         let most = self.settings.value_bytes() * 2 / 5;
-        (44 + (cpus * 8.0) as usize).min(most)
+        (20 + (cpus * 6.0) as usize).min(most)
     }
 
     /// Spreads new machines over blocks: enough blocks for each controller, more as the fleet
@@ -252,8 +252,12 @@
                     }
                     break;
                 }
+                debug!(
+                    block = id.0,
+                    tasks = bindings.len(),
+                    "a block's value is full"
+                );
                 if bindings.is_empty() {
-                    debug!(block = id.0, "a block's value is full");
                     break;
                 }
                 bindings.truncate(bindings.len() / 2);
--- a/src/view.rs
+++ b/src/view.rs
@@ -490,8 +490,8 @@
                 zone,
                 spot,
                 leaving: m.x,
-                queue: ungroup(&m.q, &jobs),
-                evict: ungroup(&m.p, &jobs),
+                queue: ungroup(&m.q, record.a, &jobs),
+                evict: ungroup(&m.p, record.a, &jobs),
             };
             self.put_machine(ix, Some(machine));
         }
@@ -658,14 +658,16 @@
         let mut record = BlockRecord::default();
         let mut jobs = Table::default();
         let mut kinds = Table::default();
+        let queues = draft.machines.values().flat_map(|m| &m.queue);
+        record.a = queues.map(|e| e.attempt).min().unwrap_or(0);
         for (&ix, m) in &draft.machines {
             let mut listed = m.evict.clone();
             listed.retain(|e| m.queue.contains(e));
             let stored = MachineRecord {
                 k: kinds.place((m.frame, m.zone, m.spot)),
                 x: m.leaving,
-                q: group(&m.queue, &mut jobs),
-                p: group(&listed, &mut jobs),
+                q: group(&m.queue, record.a, &mut jobs),
+                p: group(&listed, record.a, &mut jobs),
             };
             record
                 .m
@@ -783,14 +785,15 @@
 }
 
 /// Entries as they are stored: runs of tasks by job and attempt.
-fn group(entries: &[Entry], jobs: &mut Table<JobIx>) -> Vec<Listing> {
+fn group(entries: &[Entry], base: u64, jobs: &mut Table<JobIx>) -> Vec<Listing> {
     let mut q: Vec<Listing> = Vec::new();
     for e in entries {
         let job = jobs.place(e.task.job);
-        let part = match q.iter_mut().position(|p| p.0 == job && p.2 == e.attempt) {
+        let attempt = e.attempt.saturating_sub(base);
+        let part = match q.iter().position(|p| p.0 == job && p.2 == attempt) {
             Some(at) => &mut q[at],
             None => {
-                q.push((job, RangeSet::new(), e.attempt));
+                q.push((job, RangeSet::new(), attempt));
                 let last = q.len() - 1;
                 &mut q[last]
             }
@@ -800,13 +803,13 @@
     q
 }
 
-fn ungroup(listed: &[Listing], jobs: &[JobIx]) -> Vec<Entry> {
+fn ungroup(listed: &[Listing], base: u64, jobs: &[JobIx]) -> Vec<Entry> {
     let mut entries = Vec::new();
     for (job, legs, attempt) in listed {
         let Some(&job) = jobs.get(*job) else { continue };
         entries.extend(legs.iter().map(|leg| Entry {
             task: TaskIx { job, leg },
-            attempt: *attempt,
+            attempt: base.saturating_add(*attempt),
         }));
     }
     entries
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -512,22 +512,87 @@
 /// Tasks of one job and attempt in a block's value: place in its table of jobs, tasks, attempt.
 pub type Listing = (usize, RangeSet, u64);
 
-/// Stored: a machine of a block with its queue.
+/// Stored: a machine of a block with its queue. Written as one short text, for a block's value has
+/// to hold many of them: `0 3:0-3@12 5:7@14 ! 5:7@14` is a machine of kind 0 whose queue lists tasks
+/// 0 to 3 of job 3 as attempt 12 and task 7 of job 5 as attempt 14, the latter to be stopped. An
+/// `x` after the kind means that the machine is being given back.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct MachineRecord {
     /// Its kind: place in the block's table.
     pub k: usize,
     /// Whether it is being given back: nothing new is bound to it.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub x: bool,
     /// Bound tasks.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub q: Vec<Listing>,
     /// Those of them that are to be stopped to make room.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub p: Vec<Listing>,
 }
 
+impl From<MachineRecord> for String {
+    fn from(m: MachineRecord) -> String {
+        use std::fmt::Write as _;
+        let mut text = m.k.to_string();
+        if m.x {
+            text.push('x');
+        }
+        let list = |text: &mut String, listed: &[Listing]| {
+            for (job, tasks, attempt) in listed {
+                // Writing to a string does not fail.
+                let _ = write!(text, " {job}:{tasks}@{attempt}");
+            }
+        };
+        list(&mut text, &m.q);
+        if !m.p.is_empty() {
+            text.push_str(" !");
+            list(&mut text, &m.p);
+        }
+        text
+    }
+}
+
+/// Text that is no machine of a block.
+#[derive(Debug, thiserror::Error)]
+#[error("not a machine of a block: {0:?}")]
+pub struct BadMachine(String);
+
+impl TryFrom<String> for MachineRecord {
+    type Error = BadMachine;
+
+    fn try_from(text: String) -> Result<Self, BadMachine> {
+        let bad = || BadMachine(text.chars().take(60).collect());
+        let mut parts = text.split(' ');
+        let kind = parts.next().unwrap_or("");
+        let number = kind.trim_end_matches('x');
+        let mut m = MachineRecord {
+            k: number.parse().map_err(|_| bad())?,
+            x: number.len() < kind.len(),
+            q: Vec::new(),
+            p: Vec::new(),
+        };
+        let mut stopped = false;
+        for part in parts {
+            if part == "!" {
+                stopped = true;
+                continue;
+            }
+            let (job, rest) = part.split_once(':').ok_or_else(bad)?;
+            let (tasks, attempt) = rest.split_once('@').ok_or_else(bad)?;
+            let listing = (
+                job.parse().map_err(|_| bad())?,
+                tasks.parse().map_err(|_| bad())?,
+                attempt.parse().map_err(|_| bad())?,
+            );
+            if stopped {
+                m.p.push(listing);
+            } else {
+                m.q.push(listing);
+            }
+        }
+        Ok(m)
+    }
+}
+
 /// Stored: a block of machines. Names that stand in it often stand once, in a table, so that a
 /// value holds many machines.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -538,6 +603,9 @@
     /// Jobs.
     #[serde(default)]
     pub j: Vec<String>,
+    /// What is added to each attempt.
+    #[serde(default)]
+    pub a: u64,
     /// Machines by name.
     #[serde(default)]
     pub m: BTreeMap<String, MachineRecord>,
@@ -668,3 +736,33 @@
     /// Failures in a row by job, with the milliseconds since the last.
     pub fails: Vec<(String, u32, u64)>,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_machine_of_a_block_reads_back_and_nothing_else_does() {
+        let listing = |j, tasks: &str, a| (j, tasks.parse().expect("good"), a);
+        let m = MachineRecord {
+            k: 2,
+            x: true,
+            q: vec![listing(0, "0-3,9", 12), listing(7, "1", 0)],
+            p: vec![listing(7, "1", 0)],
+        };
+        let text = serde_json::to_string(&m).expect("json");
+        assert_eq!(text, r#""2x 0:0-3,9@12 7:1@0 ! 7:1@0""#);
+        assert_eq!(
+            serde_json::from_str::<MachineRecord>(&text).expect("good"),
+            m
+        );
+        for text in [
+            "", "x", "0 1", "0 1:2", "0 1:x@2", "0 1:2@", "0  1:2@3", "-1",
+        ] {
+            assert!(
+                MachineRecord::try_from(text.to_owned()).is_err(),
+                "{text:?}"
+            );
+        }
+    }
+}
