--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -47,6 +47,31 @@
         lead.gone.retain(there);
         lead.leave.retain(there);
         lead.removed.retain(|_, t| now.since(*t) < 120_000);
+        // Machines of one zone that fall silent together are cut off, not dead.
+        let lease = self.settings.worker_gone_ms();
+        let mut zones: HashMap<ZoneIx, (usize, usize)> = HashMap::new();
+        for (ix, &at) in &self.lead.heard {
+            if let Some(m) = self.view.machines.get(ix) {
+                let zone = zones.entry(m.zone).or_default();
+                zone.0 += usize::from(now.since(at) > lease);
+                zone.1 += 1;
+            }
+        }
+        let cut = zones
+            .into_iter()
+            .filter(|(_, (silent, all))| *all >= 4 && silent * 2 > *all);
+        self.lead.cut_zones = cut.map(|z| z.0).collect();
+    }
+
+    /// Whether a machine is silent together with most others of its zone.
+    pub(crate) fn cut_off(&self, ix: MachineIx, now: Ms) -> bool {
+        let zone = self.view.machines.get(&ix).map(|m| m.zone);
+        zone.is_some_and(|z| self.lead.cut_zones.contains(&z))
+            && self
+                .lead
+                .heard
+                .get(&ix)
+                .is_some_and(|&at| now.since(at) > self.settings.worker_gone_ms())
     }
 
     /// Whether tasks may be bound to a machine now.
@@ -150,7 +175,13 @@
             Some(age) => {
                 // An earlier holder that is cut off from all but its workers may still be
                 // answering this machine, for as long as its authority lasts.
-                let patience = self.settings.stranger_gone_ms() + 2000;
+                let mut patience = self.settings.stranger_gone_ms() + 2000;
+                if self.cut_off(ix, now) {
+                    // With its warm cache it is worth more than what could be rented into a zone
+                    // that cannot be reached.
+                    patience = patience.max((self.settings.options.fleet_cut_s * 1000.0) as u64);
+                    return age > patience || missing;
+                }
                 (age > lost && held_for > patience)
                     || (missing && age > self.settings.worker_gone_ms())
             }
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -47,6 +47,8 @@
     listed: HashMap<MachineIx, Listed>,
     /// When a machine was last heard by any holder, as far as this leader knows.
     heard: HashMap<MachineIx, Ms>,
+    /// Zones most of whose machines are silent.
+    cut_zones: HashSet<ZoneIx>,
     /// Since when a block's grant is known, by its token.
     granted: HashMap<BlockId, (u64, Ms)>,
     /// Lists in a row that did not show a machine of ours.
--- a/src/leader/renting.rs
+++ b/src/leader/renting.rs
@@ -87,7 +87,9 @@
             })
             .collect();
         let orders = fleet::rent(demand, &fleet, &offers, rules, |f, z, s| {
-            refused.get(&(f, z, s)).is_none_or(|&until| now >= until) && !asked.contains(&(f, z, s))
+            refused.get(&(f, z, s)).is_none_or(|&until| now >= until)
+                && !asked.contains(&(f, z, s))
+                && !self.lead.cut_zones.contains(&z)
         });
         for o in orders.into_iter().take(6) {
             self.lead.bookings += 1;
@@ -261,7 +263,12 @@
             };
             let info = self.machine_info(ix, now);
             let going = info.as_ref().is_some_and(|i| i.recalled || i.sick);
-            if m.leaving || going || self.lead.leave.contains(&ix) || self.is_dead(ix, now) {
+            if m.leaving
+                || going
+                || self.lead.leave.contains(&ix)
+                || self.cut_off(ix, now)
+                || self.is_dead(ix, now)
+            {
                 continue;
             }
             let up = info.is_some_and(|i| i.age_ms.is_some());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -304,6 +304,8 @@
     fleet_idle_s: "fleet/idle-s" = 8.0 in 0.0..=3600.0;
     /// Seconds that a refused type and zone is left alone.
     fleet_refused_s: "fleet/refused-s" = 15.0 in 1.0..=3600.0;
+    /// Seconds for which machines are kept that fell silent together with most of their zone.
+    fleet_cut_s: "fleet/cut-s" = 90.0 in 0.0..=3600.0;
     /// Most machines rented at a time.
     fleet_most: "fleet/most" = 1000.0 in 1.0..=10000.0;
     /// Most unfinished jobs; more are answered with 429.
--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -363,3 +363,29 @@
     assert!(steals < 12 * 120 * 4, "{steals} steals in 12 rounds");
     w.assert_kept();
 }
+
+#[test]
+fn machines_of_a_zone_that_is_cut_off_are_kept_for_a_while() {
+    // They came back with warm caches after 70 s, but had been returned after 38 s, and what
+    // was rented in their place could not be reached either.
+    let mut w = settled(20, 3, 10);
+    w.run_ms = 30_000;
+    let job = w.submit(1, w.spec(16));
+    w.until(20_000, "all run", |w| w.running() == 16);
+    let south = |w: &World| -> Vec<usize> {
+        let of = |&i: &usize| w.workers[i].rig.yard == "south";
+        (0..w.workers.len()).filter(of).collect()
+    };
+    south(&w).into_iter().for_each(|i| w.workers[i].cut = true);
+    let there: Vec<String> = south(&w)
+        .into_iter()
+        .map(|i| w.workers[i].rig.name.clone())
+        .collect();
+    w.submit(2, w.spec(200));
+    w.run(70_000);
+    let kept = there.iter().filter(|rig| !w.returned.contains(*rig));
+    assert_eq!(kept.count(), there.len(), "{:?}", w.returned);
+    w.heal();
+    w.until(150_000, "done", |w| w.is_done(&job));
+    w.assert_kept();
+}
