--- a/src/state.rs
+++ b/src/state.rs
@@ -83,7 +83,7 @@
     }
 
     /// Reads the service's revision, on the way of a key that is short.
-    pub async fn revision(&self, key: &str, wait: Duration) -> Result<u64, StateError> {
+    pub async fn revision_of(&self, key: &str, wait: Duration) -> Result<u64, StateError> {
         let path = format!("/keys?starts={key}&limit=1");
         let (_, body) = self.get(&path, wait).await?;
         parse::<ItemList>(&body).map(|l| l.ledger)
