--- a/src/core/commits.rs
+++ b/src/core/commits.rs
@@ -140,7 +140,7 @@
                     }
                     Op::Lead => info!(term = ledger, "took the leadership"),
                     Op::Ends(_) => self.ends_done(&flight.payload, ledger),
-                    Op::Edit(_) => self.counters.bound += flight.payload.binds.len() as u64,
+                    Op::Edit(id) => self.edit_done(id, &flight.payload),
                     Op::Leader | Op::Load => {}
                 }
                 self.after_view(now);
@@ -205,6 +205,24 @@
             .any(|t| now.since(t) < SHORT_MS)
     }
 
+    fn edit_done(&mut self, id: BlockId, payload: &Payload) {
+        self.counters.bound += payload.binds.len() as u64;
+        for &ix in &payload.placed {
+            let Some(m) = self.view.machines.get(&ix) else {
+                continue;
+            };
+            let names = &self.view.names;
+            info!(
+                rig = names.machines.name(ix),
+                block = id.0,
+                frame = names.frames.name(m.frame),
+                zone = names.zones.name(m.zone),
+                spot = m.spot,
+                "machine joins"
+            );
+        }
+    }
+
     fn ends_done(&mut self, payload: &Payload, ledger: u64) {
         for (ix, entry, end) in &payload.ends {
             if let Some(ends) = self.ends.get_mut(ix) {
--- a/src/leader/edits.rs
+++ b/src/leader/edits.rs
@@ -150,6 +150,8 @@
         for f in self.ops_blocks() {
             sizes.entry(f).or_insert((usize::MAX / 2, per_block));
         }
+        // Hundreds of machines may wait here, for as long as the budget of changes is used up.
+        let writable = self.open_blocks(now);
         for (name, new) in self.lead.place.clone() {
             let names = &mut self.view.names;
             let ix = names.machines.intern(&name);
@@ -164,7 +166,7 @@
             let free = (0..).map(BlockId).find(|id| !sizes.contains_key(id));
             let lightest = sizes
                 .iter()
-                .filter(|(id, _)| edits.contains_key(id) || self.writable(**id, now))
+                .filter(|(id, _)| edits.contains_key(id) || writable.contains(id))
                 .min_by_key(|(id, size)| (size.0, **id))
                 .map(|(&id, &size)| (id, size));
             let id = match lightest {
@@ -181,14 +183,6 @@
             let (draft, payload) = edits
                 .entry(id)
                 .or_insert_with(|| (self.view.draft(id), Payload::default()));
-            info!(
-                rig = name,
-                block = id.0,
-                frame = new.frame,
-                zone = new.zone,
-                spot = new.spot,
-                "machine joins"
-            );
             let machine = Machine {
                 block: id,
                 frame,
