--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -347,6 +347,7 @@
     w.settings.platform.settings.teams[0].cpus_max = 500.0;
     (0..3).for_each(|i| w.crash(i));
     (0..3).for_each(|i| w.start(i));
+    w.run(8000);
     w.cloud_up = false;
     w.run_ms = 20_000;
     for n in 1..=10 {
@@ -359,6 +360,7 @@
         (0..3).map(|i| f(&w.core(i).counters)).sum()
     };
     let (steals, hops) = (count(|c| c.steals), count(|c| c.hops));
+    assert!(steals > 20, "only {steals} steals");
     assert!(hops <= steals * 7, "{hops} hops of {steals} steals");
     assert!(steals < 12 * 120 * 4, "{steals} steals in 12 rounds");
     w.assert_kept();
@@ -389,3 +391,53 @@
     w.until(150_000, "done", |w| w.is_done(&job));
     w.assert_kept();
 }
+
+#[test]
+fn a_controller_that_is_late_itself_calls_no_machine_deaf() {
+    // While its answers were slow, a controller had 165 machines returned that missed them.
+    let deaf = |misses: &dyn Fn(usize) -> bool| {
+        let mut w = settled(21, 3, 15);
+        let i = (w.leader().expect("leads") + 1) % 3;
+        let held = |w: &World, at: &usize| w.holder(&w.workers[*at].rig.name) == Some(i);
+        let mine: Vec<usize> = (0..15).filter(|at| held(&w, at)).collect();
+        assert!(mine.len() > 3, "{mine:?}");
+        let mut now = w.now;
+        for round in 1..=4 {
+            now += 4200;
+            for (n, &at) in mine.iter().enumerate() {
+                let mut report = w.workers[at].report();
+                // Who had no answer has asked another controller in between.
+                let step = if misses(n) { 2 } else { 1 };
+                report.tally += round * step;
+                let at = if misses(n) { now } else { w.now + round * 1000 };
+                let core = &mut w.nodes[i].as_mut().expect("alive").core;
+                core.on_report(report, Ms(at));
+            }
+        }
+        let core = &mut w.nodes[i].as_mut().expect("alive").core;
+        let fleet = core.peer_news(true, Ms(now)).fleet.expect("a long message");
+        fleet.machines.iter().filter(|m| !m.obeys).count()
+    };
+    assert_eq!(
+        deaf(&|n| n == 0),
+        1,
+        "one that misses its answers is found out"
+    );
+    assert_eq!(deaf(&|_| true), 0, "all that miss them are not to blame");
+}
+
+#[test]
+fn settings_of_five_controllers_load_and_faulty_ones_name_the_field() {
+    use quillbend::settings::Platform;
+    let known = |n: u32| {
+        format!("[[known]]\nhost_name = \"n{n}\"\nnew = 1\nendpoint = \"127.0.0.1:1808{n}\"\n")
+    };
+    let text = support::PLATFORM
+        .replace("count = 3", "count = 5\nnew_field = [1, 2]")
+        .replace("[external]", &format!("{}{}[external]", known(3), known(4)));
+    let platform = Platform::parse(&text).expect("good");
+    assert_eq!((platform.settings.count, platform.known.len()), (5, 4));
+    let faulty = text.replace("txn_ops = 12", "txn_ops = 2");
+    let says = Platform::parse(&faulty).expect_err("too few").to_string();
+    assert!(says.contains("state.txn_ops"), "{says}");
+}
