--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -10,11 +10,7 @@
 
 /// A world that has settled: somebody leads and every machine is held and obeys.
 fn settled(seed: u64, nodes: usize, machines: usize) -> World {
-    let mut w = World::sized(seed, nodes, machines);
-    w.until(5000, "a leader", |w| w.leader().is_some());
-    w.until(8000, "every machine is held", |w| {
-        w.workers.iter().all(|m| w.holder(&m.rig.name).is_some())
-    });
+    let mut w = World::settled(seed, nodes, machines);
     w.run(3000);
     w
 }
@@ -22,9 +18,7 @@
 /// A settled world in which all tasks of one job run, each for `run_ms`.
 fn busy(seed: u64, nodes: usize, run_ms: u64) -> (World, String) {
     let mut w = settled(seed, nodes, 6);
-    w.run_ms = run_ms;
-    let job = w.submit(1, w.spec(16));
-    w.until(15_000, "all run", |w| w.running() == 16);
+    let job = w.fill(run_ms, 16);
     (w, job)
 }
 
@@ -316,11 +310,7 @@
         for _ in 0..12 {
             let i = luck.random_range(0..5);
             match luck.random_range(0..9) {
-                0 => w.crash(i),
-                1 => w.links[i].state = Mood::Refuses,
-                2 => w.links[i].state = Mood::Late(luck.random_range(200..8000)),
-                3 => w.links[i].peers = false,
-                4 => w.links[i].workers = false,
+                kind @ 0..=4 => w.trouble(i, kind, &mut luck),
                 5 => w.strand(i),
                 n => {
                     let all = w.workers.len();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -8,22 +8,15 @@
 use quillbend::wire::JobStatus;
 use support::{Mood, World};
 
-/// A world that has settled: somebody leads and every machine is held.
+/// A settled world of three controllers.
 fn settled(seed: u64, machines: usize) -> World {
-    let mut w = World::new(seed, machines);
-    w.until(5000, "a leader", |w| w.leader().is_some());
-    w.until(8000, "every machine is held", |w| {
-        w.workers.iter().all(|m| w.holder(&m.rig.name).is_some())
-    });
-    w
+    World::settled(seed, 3, machines)
 }
 
 /// A settled world in which all tasks of one job run, each for `run_ms`.
 fn busy(seed: u64, machines: usize, run_ms: u64, tasks: u32) -> (World, String) {
     let mut w = settled(seed, machines);
-    w.run_ms = run_ms;
-    let job = w.submit(1, w.spec(tasks));
-    w.until(15_000, "all run", |w| w.running() == tasks as usize);
+    let job = w.fill(run_ms, tasks);
     (w, job)
 }
 
@@ -494,11 +487,7 @@
         for _ in 0..12 {
             let i = luck.random_range(0..3);
             match luck.random_range(0..7) {
-                0 => w.crash(i),
-                1 => w.links[i].state = Mood::Refuses,
-                2 => w.links[i].state = Mood::Late(luck.random_range(200..8000)),
-                3 => w.links[i].peers = false,
-                4 => w.links[i].workers = false,
+                kind @ 0..=4 => w.trouble(i, kind, &mut luck),
                 5 => w.links[i].watch_hangs = true,
                 _ => {
                     let n = w.workers.len();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -324,6 +324,35 @@
         w
     }
 
+    /// A world that has settled: somebody leads and every machine is held.
+    pub fn settled(seed: u64, nodes: usize, machines: usize) -> World {
+        let mut w = World::sized(seed, nodes, machines);
+        w.until(5000, "a leader", |w| w.leader().is_some());
+        w.until(8000, "every machine is held", |w| {
+            w.workers.iter().all(|m| w.holder(&m.rig.name).is_some())
+        });
+        w
+    }
+
+    /// Submits a job and plays until all of its tasks run, each for `run_ms`.
+    pub fn fill(&mut self, run_ms: u64, tasks: u32) -> String {
+        self.run_ms = run_ms;
+        let job = self.submit(1, self.spec(tasks));
+        self.until(15_000, "all run", |w| w.running() == tasks as usize);
+        job
+    }
+
+    /// One of five troubles of a controller.
+    pub fn trouble(&mut self, i: usize, kind: u32, luck: &mut SmallRng) {
+        match kind {
+            0 => self.crash(i),
+            1 => self.links[i].state = Mood::Refuses,
+            2 => self.links[i].state = Mood::Late(luck.random_range(200..8000)),
+            3 => self.links[i].peers = false,
+            _ => self.links[i].workers = false,
+        }
+    }
+
     fn machine(&mut self, frame: &str, yard: &str, spot: bool, boot: u64) -> String {
         self.rented += 1;
         let name = format!("m-{:06}", self.rented);
