--- a/src/settings.rs
+++ b/src/settings.rs
@@ -306,8 +306,9 @@
     fleet_refused_s: "fleet/refused-s" = 15.0 in 1.0..=3600.0;
     /// Seconds for which machines are kept that fell silent together with most of their zone.
     fleet_cut_s: "fleet/cut-s" = 90.0 in 0.0..=3600.0;
-    /// Most machines rented at a time.
-    fleet_most: "fleet/most" = 1000.0 in 1.0..=10000.0;
+    /// Most machines rented at a time: a guard against a mistake in what is asked for, not a size of
+    /// the fleet, which demand and the cloud decide.
+    fleet_most: "fleet/most" = 100000.0 in 1.0..=1000000.0;
     /// Most unfinished jobs; more are answered with 429.
     jobs_most: "jobs/most" = 3000.0 in 1.0..=1000000.0;
     /// Milliseconds between messages to a peer.
