--- a/src/core/endings.rs
+++ b/src/core/endings.rs
@@ -3,8 +3,8 @@
 use super::commits::Payload;
 use super::*;
 use crate::ranges::RangeSet;
+use crate::records::BlockRecord;
 use crate::view::Draft;
-use crate::wire::BlockRecord;
 
 /// Above this part of the largest value, a block's list of done tasks is moved to the jobs' keys.
 const FLUSH_ABOVE: f64 = 0.6;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,14 +13,15 @@
 use crate::leader::LeadRt;
 use crate::names::{ClassIx, FrameIx, HostIx, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::queue::{Needs, Room};
+use crate::records::{LoadRecord, NodeRecord, OwnerRecord};
 use crate::settings::Settings;
 use crate::view::{
     BlockId, Boot, Entry, Job, Machine, Owner, TaskIx, Token, View, block_key, grant_key, job_key,
     load_key, node_key,
 };
 use crate::wire::{
-    Cause, Change, Frame, Guard, JobStatus, Json, LegStatus, LoadRecord, MachineNews, NewsList,
-    NodeRecord, Order, Orders, OwnerRecord, PeerNews, Report, Stray, Txn,
+    Cause, Change, Frame, Guard, JobStatus, Json, LegStatus, MachineNews, NewsList, Order, Orders,
+    PeerNews, Report, Stray, Txn,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -2,8 +2,9 @@
 
 use crate::core::Core;
 use crate::queue::Room;
+use crate::records::JobRecord;
 use crate::view::{job_key, past_key};
-use crate::wire::{Change, Guard, JobAnswer, JobRecord, JobSpec, JobStatus, Json, Submission, Txn};
+use crate::wire::{Change, Guard, JobAnswer, JobSpec, JobStatus, Json, Submission, Txn};
 use std::collections::{HashMap, VecDeque};
 
 /// Longest name of a job, and of anything else that a user names.
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -17,10 +17,11 @@
 use crate::names::{FrameIx, HostIx, ImageIx, Index, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::queue::{self, Candidate, Limits, Room, Slot};
 use crate::ranges::RangeSet;
+use crate::records::OwnerRecord;
 use crate::view::{
     BlockId, CATALOG, Entry, Job, LEAD, TaskIx, Term, block_key, grant_key, job_key, past_key,
 };
-use crate::wire::{Agent, Change, Frame, JobStatus, ListedRig, OwnerRecord, Rental, Txn, Urgency};
+use crate::wire::{Agent, Change, Frame, JobStatus, ListedRig, Rental, Txn, Urgency};
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use tracing::{debug, info};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod names;
 pub mod queue;
 pub mod ranges;
+pub mod records;
 pub mod service;
 pub mod settings;
 pub mod state;
--- a/src/ranges.rs
+++ b/src/ranges.rs
@@ -146,32 +146,38 @@
     }
 }
 
-impl fmt::Display for RangeSet {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+/// Writes a number in a base of up to 36.
+pub(crate) fn write_number(n: u64, base: u32, out: &mut String) {
+    let base64 = u64::from(base);
+    if n >= base64 {
+        write_number(n / base64, base, out);
+    }
+    out.extend(char::from_digit((n % base64) as u32, base));
+}
+
+impl RangeSet {
+    /// Writes the ranges with numbers in a base of up to 36.
+    pub(crate) fn write(&self, base: u32, out: &mut String) {
         for (i, &(lo, hi)) in self.parts.iter().enumerate() {
             if i > 0 {
-                f.write_str(",")?;
+                out.push(',');
             }
-            if hi - lo == 1 {
-                write!(f, "{lo}")?;
-            } else {
-                write!(f, "{lo}-{}", hi - 1)?;
+            write_number(lo.into(), base, out);
+            if hi - lo > 1 {
+                out.push('-');
+                write_number((hi - 1).into(), base, out);
             }
         }
-        Ok(())
     }
-}
-
-impl FromStr for RangeSet {
-    type Err = BadRanges;
 
-    fn from_str(text: &str) -> Result<Self, BadRanges> {
+    /// Reads ranges with numbers in a base of up to 36.
+    pub(crate) fn read(text: &str, base: u32) -> Result<Self, BadRanges> {
         let bad = || BadRanges(text.chars().take(40).collect());
         let mut set = RangeSet::new();
         for part in text.split(',').filter(|p| !p.is_empty()) {
             let (lo, hi) = part.split_once('-').unwrap_or((part, part));
-            let lo: u32 = lo.parse().map_err(|_| bad())?;
-            let hi: u32 = hi.parse().map_err(|_| bad())?;
+            let lo = u32::from_str_radix(lo, base).map_err(|_| bad())?;
+            let hi = u32::from_str_radix(hi, base).map_err(|_| bad())?;
             if hi < lo || hi == u32::MAX {
                 return Err(bad());
             }
@@ -181,6 +187,22 @@
     }
 }
 
+impl fmt::Display for RangeSet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut text = String::new();
+        self.write(10, &mut text);
+        f.write_str(&text)
+    }
+}
+
+impl FromStr for RangeSet {
+    type Err = BadRanges;
+
+    fn from_str(text: &str) -> Result<Self, BadRanges> {
+        Self::read(text, 10)
+    }
+}
+
 impl Serialize for RangeSet {
     fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
         s.collect_str(self)
--- /dev/null
+++ b/src/records.rs
@@ -0,0 +1,374 @@
+//! Values kept in the state service.
+//!
+//! A block's value has to hold the queues of many machines within a few KiB, so it is written
+//! densely: names front-coded (what a name shares with the one before is a single digit), numbers in
+//! base 36, each machine a short text.
+
+use crate::ranges::{RangeSet, write_number};
+use crate::wire::{JobSpec, JobStatus};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
+use std::collections::BTreeMap;
+
+/// A job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Specification.
+    pub s: JobSpec,
+    /// State: pending, done or withdrawn.
+    pub st: JobStatus,
+    /// Tasks done.
+    pub d: RangeSet,
+    /// Time of day of the submission, ms.
+    pub t: u64,
+}
+
+/// Tasks of one job and attempt in a block's value: place in its table of jobs, tasks, attempt.
+pub type Listing = (usize, RangeSet, u64);
+
+/// A machine of a block with its queue.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MachineRecord {
+    /// Its kind: place in the block's table.
+    pub k: usize,
+    /// Whether it is being given back: nothing new is bound to it.
+    pub x: bool,
+    /// Bound tasks.
+    pub q: Vec<Listing>,
+    /// Those of them that are to be stopped to make room.
+    pub p: Vec<Listing>,
+}
+
+/// A block of machines.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct BlockRecord {
+    /// Kinds of machines: type, zone, spot.
+    pub k: Vec<(String, String, bool)>,
+    /// Jobs.
+    pub j: Vec<String>,
+    /// What is added to each attempt.
+    pub a: u64,
+    /// Machines by name.
+    pub m: BTreeMap<String, MachineRecord>,
+    /// Tasks that were done here and that their jobs' own keys need not show yet.
+    pub d: Vec<(usize, RangeSet)>,
+}
+
+/// A block's value as it is written. Machines are separated by `;`: `8m-000231 0 3:0-3@c 5:7@e !
+/// 5:7@e` is a machine whose name shares 8 characters with the one before; it is of kind 0, and its
+/// queue lists tasks 0 to 3 of job 3 as attempt 12 and task 7 of job 5 as attempt 14, the latter to
+/// be stopped. An `x` after the kind means that the machine is being given back.
+#[derive(Serialize, Deserialize)]
+struct Packed {
+    #[serde(default)]
+    k: Vec<(String, String, bool)>,
+    #[serde(default)]
+    j: String,
+    #[serde(default)]
+    a: u64,
+    #[serde(default)]
+    m: String,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    d: String,
+}
+
+/// Text that is no part of a block's value.
+#[derive(Debug, thiserror::Error)]
+#[error("not a block: {0:?}")]
+pub struct BadBlock(String);
+
+fn bad(text: &str) -> BadBlock {
+    BadBlock(text.chars().take(60).collect())
+}
+
+/// Most characters that a name may share with the one before: one digit of base 36.
+const SHARED: usize = 35;
+
+/// Writes names without what they share with the one before.
+#[derive(Default)]
+struct Names<'a>(&'a str);
+
+impl<'a> Names<'a> {
+    fn write(&mut self, name: &'a str, out: &mut String) {
+        let pairs = self.0.bytes().zip(name.bytes());
+        let mut shared = pairs.take_while(|(a, b)| a == b).count().min(SHARED);
+        while !name.is_char_boundary(shared) {
+            shared -= 1;
+        }
+        write_number(shared as u64, 36, out);
+        for c in name[shared..].chars() {
+            // What separates names and numbers cannot stand in a name.
+            match c {
+                ' ' => out.push_str("%20"),
+                ';' => out.push_str("%3b"),
+                '%' => out.push_str("%25"),
+                c => out.push(c),
+            }
+        }
+        self.0 = name;
+    }
+}
+
+/// Reads a name after the one before.
+fn read_name(before: &str, text: &str) -> Option<String> {
+    let shared = text.chars().next()?.to_digit(36)? as usize;
+    let rest = text[1..].replace("%20", " ").replace("%3b", ";");
+    Some(format!(
+        "{}{}",
+        before.get(..shared)?,
+        rest.replace("%25", "%")
+    ))
+}
+
+fn write_listings(listed: &[Listing], out: &mut String) {
+    for (job, tasks, attempt) in listed {
+        out.push(' ');
+        write_number(*job as u64, 36, out);
+        out.push(':');
+        tasks.write(36, out);
+        out.push('@');
+        write_number(*attempt, 36, out);
+    }
+}
+
+fn read_number(text: &str) -> Option<u64> {
+    u64::from_str_radix(text, 36).ok()
+}
+
+fn read_tasks(text: &str) -> Option<(usize, RangeSet)> {
+    let (job, tasks) = text.split_once(':')?;
+    Some((read_number(job)? as usize, RangeSet::read(tasks, 36).ok()?))
+}
+
+fn read_listing(text: &str) -> Option<Listing> {
+    let (rest, attempt) = text.split_once('@')?;
+    let (job, tasks) = read_tasks(rest)?;
+    Some((job, tasks, read_number(attempt)?))
+}
+
+impl MachineRecord {
+    fn write(&self, out: &mut String) {
+        write_number(self.k as u64, 10, out);
+        if self.x {
+            out.push('x');
+        }
+        write_listings(&self.q, out);
+        if !self.p.is_empty() {
+            out.push_str(" !");
+            write_listings(&self.p, out);
+        }
+    }
+
+    fn read(text: &str) -> Option<Self> {
+        let mut parts = text.split(' ');
+        let kind = parts.next()?;
+        let number = kind.strip_suffix('x').unwrap_or(kind);
+        let mut m = MachineRecord {
+            k: number.parse().ok()?,
+            x: number.len() < kind.len(),
+            q: Vec::new(),
+            p: Vec::new(),
+        };
+        let mut stopped = false;
+        for part in parts {
+            match (part, stopped) {
+                ("!", false) => stopped = true,
+                (part, false) => m.q.push(read_listing(part)?),
+                (part, true) => m.p.push(read_listing(part)?),
+            }
+        }
+        Some(m)
+    }
+}
+
+impl From<&BlockRecord> for Packed {
+    fn from(b: &BlockRecord) -> Packed {
+        let mut packed = Packed {
+            k: b.k.clone(),
+            j: String::new(),
+            a: b.a,
+            m: String::new(),
+            d: String::new(),
+        };
+        let mut names = Names::default();
+        for job in &b.j {
+            if !packed.j.is_empty() {
+                packed.j.push(' ');
+            }
+            names.write(job, &mut packed.j);
+        }
+        let mut names = Names::default();
+        for (name, m) in &b.m {
+            if !packed.m.is_empty() {
+                packed.m.push(';');
+            }
+            names.write(name, &mut packed.m);
+            packed.m.push(' ');
+            m.write(&mut packed.m);
+        }
+        for (job, tasks) in &b.d {
+            if !packed.d.is_empty() {
+                packed.d.push(' ');
+            }
+            write_number(*job as u64, 36, &mut packed.d);
+            packed.d.push(':');
+            tasks.write(36, &mut packed.d);
+        }
+        packed
+    }
+}
+
+/// The parts of a text; none of an empty one.
+fn parts(text: &str, separator: char) -> impl Iterator<Item = &str> {
+    let whole = (!text.is_empty()).then_some(text);
+    whole.into_iter().flat_map(move |t| t.split(separator))
+}
+
+impl TryFrom<Packed> for BlockRecord {
+    type Error = BadBlock;
+
+    fn try_from(p: Packed) -> Result<Self, BadBlock> {
+        let mut b = BlockRecord {
+            k: p.k,
+            a: p.a,
+            ..BlockRecord::default()
+        };
+        for text in parts(&p.j, ' ') {
+            let before = b.j.last().map_or("", String::as_str);
+            let name = read_name(before, text).ok_or_else(|| bad(text))?;
+            b.j.push(name);
+        }
+        let mut before = String::new();
+        for text in parts(&p.m, ';') {
+            let read = || {
+                let (name, rest) = text.split_once(' ')?;
+                Some((read_name(&before, name)?, MachineRecord::read(rest)?))
+            };
+            let (name, machine) = read().ok_or_else(|| bad(text))?;
+            before.clone_from(&name);
+            b.m.insert(name, machine);
+        }
+        for text in parts(&p.d, ' ') {
+            b.d.push(read_tasks(text).ok_or_else(|| bad(text))?);
+        }
+        Ok(b)
+    }
+}
+
+impl Serialize for BlockRecord {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        Packed::from(self).serialize(s)
+    }
+}
+
+impl<'de> Deserialize<'de> for BlockRecord {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        Packed::deserialize(d)?.try_into().map_err(D::Error::custom)
+    }
+}
+
+/// Queue totals of a controller's machines, for the mean and for the choice of targets.
+/// Machines in between are counted only, so that the value stays small however many there are.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadRecord {
+    /// Number of machines.
+    pub n: usize,
+    /// Sum of their loads.
+    pub s: f64,
+    /// The heaviest and the lightest of them.
+    pub m: BTreeMap<String, f64>,
+}
+
+/// Who leads, or who holds a block. The key's revision is the term or the token.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRecord {
+    /// Controller.
+    pub h: String,
+    /// Its incarnation.
+    pub b: u64,
+}
+
+/// A live controller, on its lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Incarnation.
+    pub b: u64,
+    /// Lease.
+    pub l: u64,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine(kind: usize, queue: &[(usize, &str, u64)]) -> MachineRecord {
+        let listing = |&(j, tasks, a): &(usize, &str, u64)| (j, tasks.parse().expect("good"), a);
+        MachineRecord {
+            k: kind,
+            x: false,
+            q: queue.iter().map(listing).collect(),
+            p: Vec::new(),
+        }
+    }
+
+    #[test]
+    fn a_block_reads_back_as_it_was_written() {
+        let mut block = BlockRecord {
+            k: vec![("big".into(), "north hall".into(), true)],
+            j: vec!["wk-000412".into(), "wk-000398".into(), "wk-7".into()],
+            a: 4000,
+            ..BlockRecord::default()
+        };
+        let mut leaving = machine(0, &[(0, "0-3,9", 0), (2, "99999", 40)]);
+        leaving.x = true;
+        leaving.p = leaving.q[..1].to_vec();
+        block.m.insert("m-000231".into(), leaving);
+        block.m.insert("m-000240".into(), machine(11, &[]));
+        for odd in ["m 1;x%20 ", "m-é1", "m-è2", ""] {
+            block.m.insert(odd.into(), machine(0, &[(1, "7", 1)]));
+        }
+        block.d.push((1, "0-40,50".parse().expect("good")));
+        let text = serde_json::to_string(&block).expect("json");
+        assert!(
+            text.contains(" 0x 0:0-3,9@0 2:255r@14 ! 0:0-3,9@0;640 11;"),
+            "{text}"
+        );
+        assert!(text.contains("0wk-000412 6398 37"), "{text}");
+        assert_eq!(
+            serde_json::from_str::<BlockRecord>(&text).expect("good"),
+            block
+        );
+        let empty = BlockRecord::default();
+        let text = serde_json::to_string(&empty).expect("json");
+        assert_eq!(
+            serde_json::from_str::<BlockRecord>(&text).expect("good"),
+            empty
+        );
+    }
+
+    #[test]
+    fn what_is_no_block_is_refused() {
+        for text in [
+            "0a",
+            "0a ",
+            "0a x",
+            "0a 0 1",
+            "0a 0 1:2",
+            "0a 0 1:%@2",
+            "0a 0  1:2@3",
+            "0a 0 ! !",
+            "1a 0",
+            "é 0",
+            ";",
+            "0a -1",
+            "0a 0 1:3-1@2",
+        ] {
+            let value = serde_json::json!({ "m": text });
+            assert!(
+                serde_json::from_value::<BlockRecord>(value).is_err(),
+                "{text:?}"
+            );
+        }
+        assert!(serde_json::from_str::<BlockRecord>(r#"{"d":"1"}"#).is_err());
+        assert!(serde_json::from_str::<BlockRecord>(r#"{"j":"9x"}"#).is_err());
+    }
+}
--- a/src/view.rs
+++ b/src/view.rs
@@ -7,10 +7,10 @@
     ClassIx, FrameIx, HostIx, ImageIx, Index, Interner, JobIx, MachineIx, TeamIx, ZoneIx,
 };
 use crate::ranges::RangeSet;
-use crate::wire::{
-    BlockRecord, Change, Item, JobRecord, JobSpec, JobStatus, Json, Listing, LoadRecord,
-    MachineRecord, News, NodeRecord, OwnerRecord, Txn,
+use crate::records::{
+    BlockRecord, JobRecord, Listing, LoadRecord, MachineRecord, NodeRecord, OwnerRecord,
 };
+use crate::wire::{Change, Item, JobSpec, JobStatus, Json, News, Txn};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -658,8 +658,30 @@
         let mut record = BlockRecord::default();
         let mut jobs = Table::default();
         let mut kinds = Table::default();
-        let queues = draft.machines.values().flat_map(|m| &m.queue);
-        record.a = queues.map(|e| e.attempt).min().unwrap_or(0);
+        let queues = || draft.machines.values().flat_map(|m| &m.queue);
+        record.a = queues().map(|e| e.attempt).min().unwrap_or(0);
+        // A job is pending until its key says otherwise, and gone once it is archived: by then
+        // nobody asks for its tasks any more. Both last for ever.
+        let done: Vec<(JobIx, RangeSet)> = draft
+            .done
+            .iter()
+            .filter_map(|(ix, tasks)| {
+                let job = self.jobs.get(ix)?;
+                let mut open = tasks.clone();
+                open.subtract(&job.stored);
+                let needed = job.status == JobStatus::Pending && !open.is_empty();
+                needed.then_some((*ix, open))
+            })
+            .collect();
+        // In the order of their names, which then have most in common with the one before.
+        let mut listed: Vec<JobIx> = queues().map(|e| e.task.job).collect();
+        listed.extend(done.iter().map(|d| d.0));
+        listed.sort_unstable();
+        listed.dedup();
+        listed.sort_by_key(|&j| self.names.jobs.name(j));
+        for job in listed {
+            jobs.place(job);
+        }
         for (&ix, m) in &draft.machines {
             let mut listed = m.evict.clone();
             listed.retain(|e| m.queue.contains(e));
@@ -673,18 +695,8 @@
                 .m
                 .insert(self.names.machines.name(ix).to_owned(), stored);
         }
-        for (ix, tasks) in &draft.done {
-            // A job is pending until its key says otherwise, and gone once it is archived: by
-            // then nobody asks for its tasks any more. Both last for ever.
-            let Some(job) = self.jobs.get(ix) else {
-                continue;
-            };
-            let mut open = tasks.clone();
-            open.subtract(&job.stored);
-            if job.status == JobStatus::Pending && !open.is_empty() {
-                record.d.push((jobs.place(*ix), open));
-            }
-        }
+        let done = done.into_iter().map(|(j, tasks)| (jobs.place(j), tasks));
+        record.d = done.collect();
         let names = &self.names;
         record.j = jobs.keys(|&j| names.jobs.name(j).to_owned());
         record.k = kinds.keys(|&(f, z, s)| {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use quillbend::clock::Ms;
 use quillbend::core::{Action, Core, Op, Outcome, Reply};
 use quillbend::jobs;
+use quillbend::records::*;
 use quillbend::settings::{Options, Platform, Settings};
 use quillbend::view::{job_key, past_key};
 use quillbend::wire::*;
