--- a/src/queue.rs
+++ b/src/queue.rs
@@ -207,6 +207,12 @@
         let Some(team) = teams.get_mut(&job.team) else {
             continue;
         };
+        // Machines that have the image are few among many, and a sample of all would miss them.
+        let warm: Vec<usize> = open
+            .iter()
+            .copied()
+            .filter(|&i| slots[i].warm.contains(&job.image))
+            .collect();
         let mut taken = 0;
         for &leg in &job.tasks {
             if out.len() >= limits.most || !within(&job.needs.room, team) {
@@ -215,7 +221,7 @@
             if failed.iter().any(|f| f.covers(&job.needs)) {
                 break;
             }
-            let Some(at) = choose(slots, &open, &kept, job, limits, rng) else {
+            let Some(at) = choose(slots, &open, &warm, &kept, job, limits, rng) else {
                 open.retain(|&i| !kept[i] && slots[i].wait_s(&least) <= limits.ahead_s);
                 if !job.needs.same_place && job.needs.zone_most.is_none() {
                     failed.push(job.needs.clone());
@@ -298,6 +304,7 @@
 fn choose(
     slots: &[Slot],
     open: &[usize],
+    warm: &[usize],
     kept: &[bool],
     job: &Candidate,
     limits: Limits,
@@ -329,8 +336,12 @@
             .map(|(_, i)| i)
     };
     if open.len() > limits.sample {
-        let picks = index::sample(rng, open.len(), limits.sample);
-        if let Some(at) = best(&mut picks.into_iter().map(|i| open[i])) {
+        let mut sample = |from: &[usize]| -> Vec<usize> {
+            let picks = index::sample(rng, from.len(), limits.sample.min(from.len()));
+            picks.into_iter().map(|i| from[i]).collect()
+        };
+        let picks = [sample(warm), sample(open)].concat();
+        if let Some(at) = best(&mut picks.into_iter()) {
             return Some(at);
         }
     }
