--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -103,7 +103,7 @@
 }
 
 /// A CPU that costs this much more than the cheapest one is dear.
-const DEAR: f64 = 1.8;
+pub const DEAR: f64 = 1.8;
 /// Dear machines are rented only for this many horizons of work.
 const DEAR_HORIZONS: f64 = 2.5;
 
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -106,6 +106,26 @@
         self.settings.options.queue_ahead_s + (turns - 1.0).max(0.0)
     }
 
+    /// Seconds until all that waits would be begun on the fleet as it is.
+    fn waiting_s(&self) -> f64 {
+        let frames = self
+            .view
+            .machines
+            .values()
+            .map(|m| self.frames.get(&m.frame));
+        let cpus: f64 = frames.flatten().map(|f| f.vcpus).sum();
+        let jobs = self.view.jobs.iter();
+        let waiting: f64 = jobs
+            .filter(|(_, j)| j.status == JobStatus::Pending)
+            .map(|(&ix, j)| {
+                let begun = j.done.len() + self.view.bound_len(ix);
+                let left = j.spec.legs.saturating_sub(begun);
+                f64::from(left) * j.spec.vcpus * self.run_s(j)
+            })
+            .sum();
+        waiting / cpus.max(1.0)
+    }
+
     /// Chooses queues for unbound tasks, most pressing jobs first, and tasks to be stopped.
     pub(crate) fn plan_bindings(&mut self, now: Ms) -> BindPlan {
         let mut plan = BindPlan::default();
@@ -198,6 +218,7 @@
             ahead_s: self.ahead_s(),
             sample: self.settings.options.queue_sample as usize,
             most: slots.len().max(300),
+            lasting_s: self.waiting_s() + self.settings.options.fleet_horizon_s,
         };
         let cpus = |s: &[Slot]| -> f64 { s.iter().map(|s| s.size.cpus - s.used.cpus).sum() };
         let free = cpus(&slots);
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -2,6 +2,16 @@
 
 use super::*;
 
+/// Price of a CPU of a machine.
+fn per_cpu(frame: &Frame, spot: bool) -> f64 {
+    let price = if spot {
+        frame.market_price
+    } else {
+        frame.price
+    };
+    price / frame.vcpus.max(1e-6)
+}
+
 impl Core {
     /// Keeps track of what machines are there and since when.
     pub(crate) fn note_machines(&mut self, now: Ms) {
@@ -88,6 +98,7 @@
     /// Machines that may take tasks now, if their blocks can be written.
     pub(crate) fn slots(&self, now: Ms) -> Vec<Slot> {
         let open = self.open_blocks(now);
+        let dear_from = self.dear_from();
         let mut coming: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
         for (m, e) in self.binding() {
             coming.entry(*m).or_default().push(*e);
@@ -118,11 +129,36 @@
                 warm: warm
                     .map(|w| w.iter().copied().collect())
                     .unwrap_or_default(),
+                dear: per_cpu(frame, m.spot) > dear_from,
             });
         }
         slots
     }
 
+    /// Price of a CPU above which a machine is dear: more than the cheap ones cost that are the
+    /// greater part of the fleet; none is where there are no such.
+    fn dear_from(&self) -> f64 {
+        let machines = self.view.machines.values();
+        let priced: Vec<(f64, f64)> = machines
+            .filter_map(|m| {
+                self.frames
+                    .get(&m.frame)
+                    .map(|f| (per_cpu(f, m.spot), f.vcpus))
+            })
+            .collect();
+        let cheapest = priced.iter().map(|p| p.0).fold(f64::INFINITY, f64::min);
+        let from = cheapest * fleet::DEAR;
+        let cpus = |cheap: bool| -> f64 {
+            let of = priced.iter().filter(|p| (p.0 <= from) == cheap);
+            of.map(|p| p.1).sum()
+        };
+        if cpus(true) > cpus(false) {
+            from
+        } else {
+            f64::INFINITY
+        }
+    }
+
     /// Room that tasks take.
     pub(crate) fn used<'a>(&self, entries: impl Iterator<Item = &'a Entry>) -> Room {
         let mut used = Room::default();
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -26,6 +26,14 @@
         self.cpus <= room.cpus + EPS && self.gpus <= room.gpus + EPS && self.ram <= room.ram + EPS
     }
 
+    /// Room of so many CPUs.
+    pub fn from_cpus(cpus: f64) -> Room {
+        Room {
+            cpus,
+            ..Room::default()
+        }
+    }
+
     /// Adds `n` times `other`.
     pub fn add(&mut self, other: &Room, n: f64) {
         self.cpus += other.cpus * n;
@@ -72,6 +80,8 @@
     pub fetch_gb_per_s: f64,
     /// Images it is known to have.
     pub warm: HashSet<ImageIx>,
+    /// Whether a CPU here costs far more than on the cheap machines, which are most of the fleet.
+    pub dear: bool,
 }
 
 impl Slot {
@@ -157,6 +167,15 @@
     pub zones: HashMap<ZoneIx, u32>,
 }
 
+impl Candidate {
+    /// Whether its tasks run too long for dear machines. A job that may not go everywhere else is
+    /// bound where it can.
+    fn lasts(&self, limits: Limits) -> bool {
+        let n = &self.needs;
+        self.run_s > limits.lasting_s && n.spot && n.frames.is_none() && n.zone.is_none()
+    }
+}
+
 /// A decision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Binding {
@@ -177,6 +196,17 @@
     pub sample: usize,
     /// Most bindings.
     pub most: usize,
+    /// Longest task that dear machines still take, seconds: one that would run on when all that
+    /// waits is through would hold the whole machine for itself.
+    pub lasting_s: f64,
+}
+
+/// Whether a slot is a place for a job's tasks, room aside.
+fn place(slot: &Slot, job: &Candidate, limits: Limits) -> bool {
+    let needs = &job.needs;
+    needs.suits(slot.frame, slot.zone, slot.spot, &slot.size)
+        && needs.zone_suits(slot.zone, &job.zones)
+        && !(slot.dear && job.lasts(limits))
 }
 
 /// Binds tasks to the lightest fitting queues while their teams have room.
@@ -223,7 +253,8 @@
             }
             let Some(at) = choose(slots, &open, &warm, &kept, job, limits, rng) else {
                 open.retain(|&i| !kept[i] && slots[i].wait_s(&least) <= limits.ahead_s);
-                if !job.needs.same_place && job.needs.zone_most.is_none() {
+                let anywhere = !job.needs.same_place && job.needs.zone_most.is_none();
+                if anywhere && !job.lasts(limits) {
                     failed.push(job.needs.clone());
                 }
                 break;
@@ -245,7 +276,7 @@
         if !job.tasks.is_empty() && !within(&job.needs.room, team) {
             held.insert(job.team);
         } else if !job.tasks.is_empty() {
-            keep(slots, &mut kept, job);
+            keep(slots, &mut kept, job, limits);
         }
     }
     out
@@ -272,7 +303,7 @@
 /// Keeps the machines that will soonest have room for a waiting job's tasks from the jobs after
 /// it: on a full fleet, tasks of one CPU would take every bit that comes free, and a task of
 /// two would never start.
-fn keep(slots: &[Slot], kept: &mut [bool], job: &Candidate) {
+fn keep(slots: &[Slot], kept: &mut [bool], job: &Candidate, limits: Limits) {
     let kept_now = kept.iter().filter(|k| **k).count();
     let spare = KEPT
         .max((slots.len() / 4).min(KEPT_IN_ALL))
@@ -283,11 +314,7 @@
     let mut waits: Vec<(f64, usize)> = slots
         .iter()
         .enumerate()
-        .filter(|(i, s)| {
-            !kept[*i]
-                && job.needs.suits(s.frame, s.zone, s.spot, &s.size)
-                && job.needs.zone_suits(s.zone, &job.zones)
-        })
+        .filter(|(i, s)| !kept[*i] && place(s, job, limits))
         .map(|(i, s)| (s.wait_s(&job.needs.room), i))
         .collect();
     waits.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -311,13 +338,10 @@
     rng: &mut impl Rng,
 ) -> Option<usize> {
     let score = |slot: &Slot| -> Option<(f64, f64)> {
-        let needs = &job.needs;
-        if !needs.suits(slot.frame, slot.zone, slot.spot, &slot.size)
-            || !needs.zone_suits(slot.zone, &job.zones)
-        {
+        if !place(slot, job, limits) {
             return None;
         }
-        let wait = slot.wait_s(&needs.room);
+        let wait = slot.wait_s(&job.needs.room);
         if wait > limits.ahead_s {
             return None;
         }
@@ -370,6 +394,7 @@
             load: 0.0,
             fetch_gb_per_s: 0.5,
             warm: HashSet::new(),
+            dear: false,
         }
     }
 
@@ -405,15 +430,12 @@
         ahead_s: 3.0,
         sample: 16,
         most: 100,
+        lasting_s: f64::INFINITY,
     };
 
     /// Plans for one team that may use so many CPUs more.
     fn plan_all(slots: &mut [Slot], jobs: &mut [Candidate], cpus: f64) -> Vec<Binding> {
-        let room = Room {
-            cpus,
-            ..Room::default()
-        };
-        let mut teams = HashMap::from([(TeamIx::from_raw(0), room)]);
+        let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(cpus))]);
         let mut rng = SmallRng::seed_from_u64(1);
         plan(slots, jobs, &mut teams, LIMITS, &mut rng)
     }
@@ -469,6 +491,26 @@
         assert_eq!(run(&mut slots, job(3, needs()), 99.0), [1, 1, 0]);
     }
 
+    #[test]
+    fn long_tasks_stay_off_dear_machines_when_little_waits() {
+        // A large dear machine was held to the end of the day for the longest of its tasks.
+        let mut slots = [slot(0, 0, 2.0), slot(1, 0, 8.0)];
+        slots[1].dear = true;
+        let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(99.0))]);
+        let mut short = job(4, needs());
+        (short.job, short.run_s) = (JobIx::from_raw(1), 5.0);
+        let mut jobs = [job(4, needs()), short];
+        let limits = Limits {
+            lasting_s: 9.0,
+            ..LIMITS
+        };
+        let mut rng = SmallRng::seed_from_u64(1);
+        let plan = plan(&mut slots, &mut jobs, &mut teams, limits, &mut rng);
+        let at = |j| plan.iter().filter(move |b| b.job.raw() == j);
+        assert!(at(0).count() == 2 && at(0).all(|b| b.machine.raw() == 0));
+        assert_eq!(at(1).filter(|b| b.machine.raw() == 1).count(), 4);
+    }
+
     #[test]
     fn places_that_a_job_forbids_stay_empty() {
         let same = Needs {
