A machine without tasks has its answer as soon as it is given one

Cause: a machine without tasks reports every 5 s; a task bound just after a report waited for the next one, 2.5 s on average, on a fleet that comes up by the hundred within ten seconds. Its answer now waits for up to two fifths of the interval, at most 2 s (workers wait 4 s), and is worked out anew when it goes out: authority, token and number of the report must still stand. Ruled out: commands straight to workers; a repeat that arrives late starts a task once more after its clear, under the same token and session. Stories: the fake workers wait too; a_task_ bound_just_after_a_report_starts_in_the_answer_that_waits. A controller's first look no longer counts as a stall.

--- a/src/api.rs
+++ b/src/api.rs
@@ -11,8 +11,10 @@
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse, web};
 use parking_lot::Mutex;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 
 /// What every handler shares. Locks are short and never held across an await.
 pub struct Shared {
@@ -24,7 +26,10 @@
     pub fresh: Fresh,
     /// Time.
     pub clock: Box<dyn Clock + Send + Sync>,
-    /// How long requests of users and workers took here, microseconds.
+    /// Workers without tasks whose answers wait.
+    pub waiting: Mutex<HashMap<String, oneshot::Sender<()>>>,
+    /// How long requests of users and workers took here, microseconds; answers that wait for a
+    /// task count in full.
     pub latency: Mutex<hdrhistogram::Histogram<u64>>,
 }
 
@@ -33,6 +38,21 @@
     pub fn now(&self) -> Ms {
         self.clock.now()
     }
+
+    /// Sends the answers that waited for what the replica now shows.
+    pub fn wake(&self) {
+        let woken = self.core.lock().woken();
+        if woken.is_empty() {
+            return;
+        }
+        let mut waiting = self.waiting.lock();
+        for rig in woken {
+            if let Some(answer) = waiting.remove(&rig) {
+                // Who waited may be gone.
+                let _ = answer.send(());
+            }
+        }
+    }
 }
 
 /// Handlers' data: one per thread, for the client is not shared between threads.
@@ -326,7 +346,23 @@
         Err(e) => return refuse(StatusCode::BAD_REQUEST, &e.to_string()),
     };
     let now = door.shared.now();
-    let reply = door.shared.core.lock().on_report(report, now);
+    let (rig, number) = (report.rig.clone(), (report.shift, report.tally));
+    let (mut reply, patience) = {
+        let mut core = door.shared.core.lock();
+        let reply = core.on_report(report, now);
+        let nothing = matches!(&reply, Reply::Orders(o) if o.orders.is_empty());
+        let patience = nothing.then(|| core.may_wait(&rig, number, now));
+        (reply, patience.flatten())
+    };
+    if let Some(ms) = patience {
+        let (sender, given) = oneshot::channel();
+        door.shared.waiting.lock().insert(rig.clone(), sender);
+        // Whether tasks came or the time is over, the answer is what holds now.
+        let _ = actix_web::rt::time::timeout(Duration::from_millis(ms), given).await;
+        door.shared.waiting.lock().remove(&rig);
+        let now = door.shared.now();
+        reply = door.shared.core.lock().answer_late(&rig, number, now);
+    }
     match reply {
         Reply::Orders(o) => HttpResponse::Ok().json(o),
         Reply::Elsewhere(to) => HttpResponse::MisdirectedRequest().json(match to {
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -218,6 +218,14 @@
             let machines = self.view.blocks.get(&id).map(|b| b.machines.clone());
             for ix in machines.unwrap_or_default() {
                 self.follow_machine(ix, token, now);
+                let given = self
+                    .view
+                    .machines
+                    .get(&ix)
+                    .is_some_and(|m| !m.queue.is_empty());
+                if given && self.waiting.remove(&ix).is_some() {
+                    self.woken.push(ix);
+                }
             }
         }
     }
@@ -254,6 +262,7 @@
             self.count_running(&rt.legs, false);
         }
         self.ends.remove(&ix);
+        self.waiting.remove(&ix);
         for mv in self.moves.extract_if(.., |mv| mv.victim == ix) {
             for e in &mv.entries {
                 self.reserved.remove(e);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -319,6 +319,10 @@
     refused_at: Option<Ms>,
     /// When a user was last refused for it.
     user_refused: Option<Ms>,
+    /// Machines without tasks whose answers wait, by the number of the report.
+    waiting: HashMap<MachineIx, (u64, u64)>,
+    /// Those of them that have been given tasks.
+    woken: Vec<MachineIx>,
     /// Nothing new is planned before the replica is at this revision.
     wait_ledger: u64,
     pub(crate) peers: HashMap<HostIx, PeerRt>,
@@ -393,6 +397,8 @@
             op_wait: HashMap::new(),
             refused_at: None,
             user_refused: None,
+            waiting: HashMap::new(),
+            woken: Vec::new(),
             wait_ledger: 0,
             peers: HashMap::new(),
             signs: HashMap::new(),
@@ -454,10 +460,10 @@
     pub fn tick(&mut self, now: Ms, day_ms: u64) -> Vec<Action> {
         let mut out = Vec::new();
         self.day_ms = day_ms;
-        let started = *self.started.get_or_insert(now);
-        if now.since(self.last_tick) > STALL_MS {
+        if self.started.is_some() && now.since(self.last_tick) > STALL_MS {
             self.stalled = Some(now);
         }
+        let started = *self.started.get_or_insert(now);
         self.last_tick = now;
         if now >= self.next_metrics {
             self.next_metrics = now.plus(METRICS_MS);
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -228,9 +228,8 @@
         let ended_before = |e: &Entry| ends_before.iter().any(|x| x.0 == *e);
         let queue: HashMap<TaskIx, u64> =
             machine.queue.iter().map(|e| (e.task, e.attempt)).collect();
-        // The type may be unknown still, after a restart while the cloud is away. Everything the
-        // report shows is taken in all the same: what seemed absent could be stolen and run twice.
-        let size = self.size(machine);
+        // Everything the report shows is taken in, whether or not the machine's type is known: after
+        // a restart while the cloud is away, what seemed absent could be stolen and run twice.
         let leaving = machine.leaving || rt.sick || rt.recall_at.is_some() || rt.deaf.is_some();
         let mut clears: Vec<Order> = Vec::new();
         let mut used = Room::default();
@@ -326,7 +325,46 @@
                 });
             }
         }
-        // Launch the head of the queue while the report shows room for it.
+        let (launches, freed) = self.launch(ix, rt, used, leaving);
+        orders.extend(launches);
+        new_ends.extend(freed);
+        // A cleared task is a change, and every change is one more report: it waits for a command
+        // that changes the machine's tasks anyway, but not for long.
+        if clears.is_empty() {
+            rt.clear_since = None;
+        } else if !orders.is_empty()
+            || clears.len() >= CLEARED
+            || now.since(*rt.clear_since.get_or_insert(now)) > CLEAR_MS
+        {
+            rt.clear_since = None;
+            orders.append(&mut clears);
+        }
+        self.count_running(&before, false);
+        self.count_running(&rt.legs, true);
+        for (class, ratio) in ratios {
+            let r = self.ratios.entry(class).or_insert(ratio.clamp(0.2, 5.0));
+            *r += (ratio.clamp(0.2, 5.0) - *r) * 0.05;
+        }
+        for (entry, end) in new_ends {
+            self.note_end(ix, entry, end, rt, now);
+        }
+        orders
+    }
+
+    /// Launches the head of a machine's queue while there is room for it; what is not to be started
+    /// here any more is freed.
+    fn launch(
+        &mut self,
+        ix: MachineIx,
+        rt: &mut Rt,
+        mut used: Room,
+        leaving: bool,
+    ) -> (Vec<Order>, Vec<(Entry, End)>) {
+        let (mut orders, mut freed) = (Vec::new(), Vec::new());
+        let Some(machine) = self.view.machines.get(&ix) else {
+            return (orders, freed);
+        };
+        let size = self.size(machine);
         let mut heads: Vec<&Entry> = machine.queue.iter().collect();
         heads.sort_by_key(|e| {
             let job = self.view.jobs.get(&e.task.job);
@@ -334,24 +372,25 @@
         });
         let mut full = leaving;
         for e in heads {
-            let on_it = rt.legs.contains_key(&e.task);
+            let on_it = rt.legs.contains_key(&e.task) || rt.launched.contains(&e.task);
+            let ended = self.ended(ix, e);
             let pending = self
                 .view
                 .jobs
                 .get(&e.task.job)
                 .filter(|j| j.status == JobStatus::Pending);
             let Some(job) = pending else {
-                if !on_it && rt.fenced && !ended_before(e) {
-                    new_ends.push((*e, End::Free));
+                if !on_it && rt.fenced && !ended {
+                    freed.push((*e, End::Free));
                 }
                 continue;
             };
-            if on_it || self.reserved.contains(e) || ended_before(e) {
+            if on_it || self.reserved.contains(e) || ended {
                 continue;
             }
             if leaving || machine.evict.contains(e) {
                 if rt.fenced {
-                    new_ends.push((*e, End::Free));
+                    freed.push((*e, End::Free));
                 }
                 continue;
             }
@@ -363,33 +402,84 @@
             used.add(&need, 1.0);
             rt.launched.insert(e.task);
             self.counters.launches += 1;
-            debug!(leg = self.view.names.leg(e.task), rig = r.rig, "launching");
-            orders.push(Order::Launch {
-                leg: self.view.names.leg(e.task),
-                attempt: e.attempt,
-            });
+            let leg = self.view.names.leg(e.task);
+            debug!(leg, rig = self.view.names.machines.name(ix), "launching");
+            let attempt = e.attempt;
+            orders.push(Order::Launch { leg, attempt });
         }
-        // A cleared task is a change, and every change is one more report: it waits for a command
-        // that changes the machine's tasks anyway, but not for long.
-        if clears.is_empty() {
-            rt.clear_since = None;
-        } else if !orders.is_empty()
-            || clears.len() >= CLEARED
-            || now.since(*rt.clear_since.get_or_insert(now)) > CLEAR_MS
-        {
-            rt.clear_since = None;
-            orders.append(&mut clears);
+        (orders, freed)
+    }
+
+    /// For how long the answer to a report may wait for the first task, ms; none if it goes out at
+    /// once.
+    ///
+    /// A machine without tasks has nothing to report for a whole interval, and a task bound to it
+    /// just after its report would wait for the next one. Its answer waits for a part of that
+    /// time, as it may (PROTOCOL: workers wait 4 s); it is a full answer all the same, and the
+    /// worker's lease counts from when it sent the report.
+    pub fn may_wait(&mut self, rig: &str, number: (u64, u64), now: Ms) -> Option<u64> {
+        let ix = self.view.names.machines.get(rig)?;
+        let rt = self.rt.get(&ix)?;
+        let machine = self.view.machines.get(&ix)?;
+        let idle = rt.legs.values().all(|l| l.status == LegStatus::Ended);
+        let usable = rt.obeys() && !machine.leaving && !rt.sick && rt.recall_at.is_none();
+        if !idle || !usable || !rt.launched.is_empty() || rt.newest != number || self.slow(now) {
+            return None;
         }
-        self.count_running(&before, false);
-        self.count_running(&rt.legs, true);
-        for (class, ratio) in ratios {
-            let r = self.ratios.entry(class).or_insert(ratio.clamp(0.2, 5.0));
-            *r += (ratio.clamp(0.2, 5.0) - *r) * 0.05;
+        self.waiting.insert(ix, number);
+        Some(self.settings.answer_wait_ms())
+    }
+
+    /// Machines whose answers wait and that have been given tasks since.
+    pub fn woken(&mut self) -> Vec<String> {
+        let woken = std::mem::take(&mut self.woken);
+        let names = woken.iter().map(|&ix| self.view.names.machines.name(ix));
+        names.map(str::to_owned).collect()
+    }
+
+    /// The answer to a report that was taken in earlier and whose answer has waited since. Between
+    /// the two this controller may have lost the block, its authority or the worker's patience.
+    pub fn answer_late(&mut self, rig: &str, number: (u64, u64), now: Ms) -> Reply {
+        let known = self.view.names.machines.get(rig);
+        let held = known.and_then(|ix| Some((ix, self.view.holder(ix)?.1)));
+        let Some((ix, grant)) = held else {
+            return Reply::Unavailable;
+        };
+        if self.waiting.get(&ix) == Some(&number) {
+            self.waiting.remove(&ix);
         }
-        for (entry, end) in new_ends {
-            self.note_end(ix, entry, end, rt, now);
+        if grant.host != self.me || grant.boot != self.boot || !self.has_authority(now) {
+            return Reply::Elsewhere(None);
         }
-        orders
+        let Some(mut rt) = self.rt.remove(&ix) else {
+            return Reply::Unavailable;
+        };
+        // Under another token, or after another report, nobody waits for this answer any more.
+        let stands = rt.token == grant.stamp && rt.newest == number && rt.obeys();
+        let machine = self.view.machines.get(&ix);
+        let leaving = machine.is_none_or(|m| m.leaving) || rt.sick;
+        let reply = if stands && !leaving {
+            let mut used = Room::default();
+            for job in rt
+                .launched
+                .iter()
+                .filter_map(|t| self.view.jobs.get(&t.job))
+            {
+                used.add(&job.room(), 1.0);
+            }
+            let (orders, freed) = self.launch(ix, &mut rt, used, false);
+            for (entry, end) in freed {
+                self.note_end(ix, entry, end, &mut rt, now);
+            }
+            Reply::Orders(Orders {
+                baton: grant.stamp,
+                orders,
+            })
+        } else {
+            Reply::Unavailable
+        };
+        self.rt.insert(ix, rt);
+        reply
     }
 
     /// Whether answers may well be late because this controller is: it was kept from its own
--- a/src/service.rs
+++ b/src/service.rs
@@ -181,6 +181,7 @@
         ctx.spawn(work.into_actor(self).map(move |outcome, act, ctx| {
             let now = act.now();
             act.shared.core.lock().on_commit(op, outcome, now);
+            act.shared.wake();
             if matches!(outcome, Outcome::Done(_)) {
                 act.tick(ctx);
             }
@@ -338,6 +339,7 @@
                     let now = shared.now();
                     let ledger = list.ledger;
                     shared.core.lock().on_news(list, sent, now);
+                    shared.wake();
                     shared.fresh.reached(ledger);
                     if any {
                         controller.do_send(Kick);
@@ -441,6 +443,7 @@
     let seed = rand::rngs::SmallRng::from_os_rng().random::<u64>() ^ clock.day_ms().rotate_left(20);
     let core = Core::new(settings.clone(), seed);
     let shared = Arc::new(Shared {
+        waiting: Mutex::default(),
         core: Mutex::new(core),
         finals: Mutex::new(Finals::default()),
         fresh: Fresh::default(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -442,9 +442,17 @@
     }
 
     /// The longest that a worker which has its answers lets pass between two reports: the interval
-    /// with the quarter by which it varies (PROTOCOL, reports), and a second for the way.
+    /// with the quarter by which it varies (PROTOCOL, reports), the time that an answer waits, and a
+    /// second for the way.
     pub fn report_due_ms(&self) -> u64 {
-        (self.platform.settings.workers.report_s * 1250.0) as u64 + 1000
+        let interval = self.platform.settings.workers.report_s * 1250.0;
+        interval as u64 + self.answer_wait_ms() + 1000
+    }
+
+    /// How long the answer to a machine without tasks waits for one: two fifths of the interval of
+    /// reports, and at most half of the time after which a worker gives up (PROTOCOL, reports).
+    pub fn answer_wait_ms(&self) -> u64 {
+        ((self.platform.settings.workers.report_s * 400.0) as u64).min(2000)
     }
 
     /// After this much time without an accepted answer a worker has surely dropped its tasks.
--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -448,6 +448,52 @@
     }
 }
 
+#[test]
+fn a_task_bound_just_after_a_report_starts_in_the_answer_that_waits() {
+    // Machines that came up by the hundred stood idle for half an interval of reports.
+    let mut w = settled(23, 3, 1);
+    w.cloud_up = false;
+    let rig = w.workers[0].rig.name.clone();
+    let i = w.holder(&rig).expect("held");
+    w.run(6000);
+    let clock = w.clock(i);
+    w.workers[0].tally += 1;
+    let report = w.workers[0].report();
+    let number = (report.shift, report.tally);
+    let core = &mut w.nodes[i].as_mut().expect("alive").core;
+    core.on_report(report.clone(), clock);
+    assert!(core.may_wait(&rig, number, clock).is_some());
+    let job = w.submit(1, w.spec(2));
+    w.workers[0].cut = true;
+    w.until(3000, "it is bound", |w| {
+        w.core(i).view.machines.values().any(|m| m.queue.len() == 2)
+    });
+    let clock = w.clock(i);
+    let core = &mut w.nodes[i].as_mut().expect("alive").core;
+    assert_eq!(core.woken(), std::slice::from_ref(&rig));
+    let orders = |reply| match reply {
+        quillbend::core::Reply::Orders(o) => o.orders.len(),
+        _ => 0,
+    };
+    assert_eq!(orders(core.answer_late(&rig, number, clock)), 2, "{job}");
+    // What was launched this way counts as begun until a newer report shows it.
+    assert_eq!(orders(core.answer_late(&rig, number, clock)), 0);
+    assert_eq!(core.may_wait(&rig, number, clock), None);
+    // An answer to a report that was overtaken, or under a grant that is gone, starts nothing.
+    let mut newer = report;
+    newer.tally += 1;
+    core.on_report(newer, clock);
+    assert_eq!(orders(core.answer_late(&rig, number, clock)), 0);
+    w.strand(i);
+    w.run(40_000);
+    let clock = w.clock(i);
+    let core = &mut w.nodes[i].as_mut().expect("alive").core;
+    assert_eq!(
+        orders(core.answer_late(&rig, (number.0, number.1 + 1), clock)),
+        0
+    );
+}
+
 #[test]
 fn an_idle_machine_that_reports_every_five_seconds_is_not_called_deaf() {
     // Reports that come later than an answer's time runs out are no sign of deafness where the
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -241,6 +241,8 @@
     /// A report is under way until then.
     silent_until: u64,
     answered: u64,
+    /// Its report was taken in by a controller, whose answer waits until then.
+    held: Option<(u64, usize)>,
     /// No report leaves it and nothing reaches it.
     pub cut: bool,
     /// Its reports arrive, but no answer reaches it.
@@ -293,6 +295,8 @@
     /// Controllers on different sides do not reach each other.
     pub side: Vec<u8>,
     late_reports: Vec<(u64, usize, Report)>,
+    /// Machines whose waiting answers are due.
+    given: BTreeSet<String>,
     bookings: HashMap<String, Vec<String>>,
     rng: SmallRng,
     rented: u32,
@@ -329,6 +333,7 @@
             copies: Vec::new(),
             side: vec![0; nodes],
             late_reports: Vec::new(),
+            given: BTreeSet::new(),
             bookings: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             rented: 0,
@@ -392,6 +397,7 @@
             next_report: self.now + boot,
             silent_until: 0,
             answered: self.now + boot,
+            held: None,
             cut: false,
             deaf: false,
             sick: false,
@@ -530,6 +536,7 @@
         let w = &mut self.workers[at];
         (w.shift, w.tally, w.baton) = (1, 0, 0);
         w.tasks.clear();
+        w.held = None;
         w.answered = self.now;
         w.next_report = self.now + 200;
     }
@@ -735,6 +742,27 @@
                 changed = true;
             }
         }
+        if let Some((until, node)) = w.held {
+            // One report at a time: it is still waiting for this answer.
+            let (rig, number) = (w.rig.name.clone(), (w.shift, w.tally));
+            let clock = self.clock(node);
+            let reached = self.links[node].workers && !self.workers[at].cut;
+            let Some(core) = self.nodes[node].as_mut().map(|n| &mut n.core) else {
+                self.give_up(at);
+                return;
+            };
+            let given = core.woken();
+            self.given.extend(given);
+            if now < until && !self.given.remove(&rig) {
+                return;
+            }
+            let reply = core.answer_late(&rig, number, clock);
+            match reached {
+                true => self.take_answer(at, reply),
+                false => self.give_up(at),
+            }
+            return;
+        }
         if (now < w.next_report && !changed) || now < w.silent_until || w.cut {
             return;
         }
@@ -747,18 +775,43 @@
             self.late_reports.push((now + age, to, report.clone()));
         }
         let clock = self.clock(node);
+        let (rig, number) = (report.rig.clone(), (report.shift, report.tally));
         let reply = match (&mut self.nodes[node], self.links[node].workers) {
-            (Some(n), true) => n.core.on_report(report, clock),
+            (Some(n), true) => {
+                let reply = n.core.on_report(report, clock);
+                let nothing = matches!(&reply, Reply::Orders(o) if o.orders.is_empty());
+                let patience = nothing.then(|| n.core.may_wait(&rig, number, clock));
+                if let Some(ms) = patience.flatten()
+                    && !self.workers[at].deaf
+                {
+                    self.workers[at].held = Some((now + ms, node));
+                    return;
+                }
+                reply
+            }
             _ => Reply::Unavailable,
         };
-        let w = &mut self.workers[at];
-        if w.deaf {
-            // It waits for the answer, gives up, and goes on to the next controller.
-            w.at = (w.at + 1) % self.nodes.len();
-            w.next_report = now + 5000;
-            w.silent_until = w.next_report;
+        if self.workers[at].deaf {
+            self.give_up(at);
             return;
         }
+        self.take_answer(at, reply);
+    }
+
+    /// A worker that has no answer gives up and goes on to the next controller.
+    fn give_up(&mut self, at: usize) {
+        let (now, nodes) = (self.now, self.nodes.len());
+        let w = &mut self.workers[at];
+        w.held = None;
+        w.at = (w.at + 1) % nodes;
+        w.next_report = now + 5000;
+        w.silent_until = w.next_report;
+    }
+
+    fn take_answer(&mut self, at: usize, reply: Reply) {
+        let now = self.now;
+        let w = &mut self.workers[at];
+        w.held = None;
         match reply {
             Reply::Orders(o) if o.baton >= w.baton => {
                 if o.baton > w.baton {
