--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -337,6 +337,10 @@
     next_peers: Ms,
     /// Messages to peers so far: some of them are long.
     peer_turn: u32,
+    /// Whether machines can be used of which the leader has not been told yet.
+    hasty: bool,
+    /// When it may be told at the earliest.
+    next_hasty: Ms,
     pub(crate) next_round: Ms,
     pub(crate) lead: LeadRt,
     pub(crate) day_ms: u64,
@@ -409,6 +413,8 @@
             next_catalog: Ms(0),
             next_peers: Ms(0),
             peer_turn: 0,
+            hasty: false,
+            next_hasty: Ms(0),
             next_round: Ms(0),
             lead: LeadRt::default(),
             day_ms: 0,
@@ -486,7 +492,8 @@
                 self.tick_balance(now, &mut out);
             }
         }
-        if now >= self.next_peers || !self.outbox.is_empty() {
+        let hasty = self.hasty && now >= self.next_hasty;
+        if now >= self.next_peers || !self.outbox.is_empty() || hasty {
             self.tick_peers(now, &mut out);
         }
         out
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -3,6 +3,9 @@
 use super::*;
 use crate::wire::FleetNews;
 
+/// Least time between two messages that tell the leader of machines that came up, ms.
+const HASTY_MS: u64 = 250;
+
 impl Core {
     pub(crate) fn silent_ms(&self) -> u64 {
         (self.settings.options.peers_silent_s * 1000.0) as u64
@@ -129,6 +132,13 @@
         if periodic {
             self.next_peers = now.plus(self.settings.options.peers_period_ms as u64);
         }
+        // Machines that come up are of use only once the leader knows of them.
+        let hasty = self.hasty && now >= self.next_hasty;
+        if hasty {
+            self.hasty = false;
+            self.next_hasty = now.plus(HASTY_MS);
+        }
+        let leader = self.view.lead.map(|l| l.host).filter(|_| hasty);
         let mut outbox = std::mem::take(&mut self.outbox);
         for host in self.others.clone() {
             let mut agents = Vec::new();
@@ -138,7 +148,7 @@
                 }
                 *h != host
             });
-            let begins = periodic && self.begins_with(host, now);
+            let begins = (periodic && self.begins_with(host, now)) || leader == Some(host);
             if begins || !agents.is_empty() {
                 let long = begins && self.tells_all(host);
                 let mut news = self.peer_news(long, now);
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -211,6 +211,7 @@
         let number = (r.shift, r.tally);
         if r.baton == token.0 {
             rt.newest = number;
+            self.hasty |= !rt.fenced;
             rt.fenced = true;
             rt.heard = Some(now);
         } else if number > rt.unproven {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -449,10 +449,10 @@
         interval as u64 + self.answer_wait_ms() + 1000
     }
 
-    /// How long the answer to a machine without tasks waits for one: two fifths of the interval of
-    /// reports, and at most half of the time after which a worker gives up (PROTOCOL, reports).
+    /// How long the answer to a machine without tasks waits for one: three fifths of the interval
+    /// of reports, and a second less than a worker waits for it (4 s: PROTOCOL, reports).
     pub fn answer_wait_ms(&self) -> u64 {
-        ((self.platform.settings.workers.report_s * 400.0) as u64).min(2000)
+        ((self.platform.settings.workers.report_s * 600.0) as u64).min(3000)
     }
 
     /// After this much time without an accepted answer a worker has surely dropped its tasks.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -241,8 +241,8 @@
     /// A report is under way until then.
     silent_until: u64,
     answered: u64,
-    /// Its report was taken in by a controller, whose answer waits until then.
-    held: Option<(u64, usize)>,
+    /// Its report, sent then, was taken in by a controller, whose answer waits until then.
+    held: Option<(u64, u64, usize)>,
     /// No report leaves it and nothing reaches it.
     pub cut: bool,
     /// Its reports arrive, but no answer reaches it.
@@ -742,13 +742,13 @@
                 changed = true;
             }
         }
-        if let Some((until, node)) = w.held {
+        if let Some((sent, until, node)) = w.held {
             // One report at a time: it is still waiting for this answer.
             let (rig, number) = (w.rig.name.clone(), (w.shift, w.tally));
             let clock = self.clock(node);
             let reached = self.links[node].workers && !self.workers[at].cut;
             let Some(core) = self.nodes[node].as_mut().map(|n| &mut n.core) else {
-                self.give_up(at);
+                self.give_up(at, sent);
                 return;
             };
             let given = core.woken();
@@ -759,7 +759,7 @@
             let reply = core.answer_late(&rig, number, clock);
             match reached {
                 true => self.take_answer(at, reply),
-                false => self.give_up(at),
+                false => self.give_up(at, sent),
             }
             return;
         }
@@ -784,7 +784,7 @@
                 if let Some(ms) = patience.flatten()
                     && !self.workers[at].deaf
                 {
-                    self.workers[at].held = Some((now + ms, node));
+                    self.workers[at].held = Some((now, now + ms, node));
                     return;
                 }
                 reply
@@ -792,19 +792,19 @@
             _ => Reply::Unavailable,
         };
         if self.workers[at].deaf {
-            self.give_up(at);
+            self.give_up(at, now);
             return;
         }
         self.take_answer(at, reply);
     }
 
-    /// A worker that has no answer gives up and goes on to the next controller.
-    fn give_up(&mut self, at: usize) {
-        let (now, nodes) = (self.now, self.nodes.len());
+    /// A worker that has no answer to what it sent gives up and goes on to the next controller.
+    fn give_up(&mut self, at: usize, sent: u64) {
+        let nodes = self.nodes.len();
         let w = &mut self.workers[at];
         w.held = None;
         w.at = (w.at + 1) % nodes;
-        w.next_report = now + 5000;
+        w.next_report = sent + 5000;
         w.silent_until = w.next_report;
     }
 
