--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -98,12 +98,19 @@
     }
 
     /// How long a bound task may wait for room: the longer endings and bindings wait for their
-    /// block's turn to be written, the earlier the next tasks must be there.
-    fn ahead_s(&self) -> f64 {
+    /// block's turn to be written, the earlier the next tasks must be there. The more machines are
+    /// still coming up, the less: what is bound behind strangers by a rough estimate would wait
+    /// there while machines without tasks report.
+    fn ahead_s(&self, now: Ms) -> f64 {
         let blocks = self.view.blocks.len() as f64;
         let rate = self.settings.platform.settings.state.write_rps;
         let turns = blocks / (rate * EDITS) + blocks / (rate * ENDINGS);
-        self.settings.options.queue_ahead_s + (turns - 1.0).max(0.0)
+        let ahead = self.settings.options.queue_ahead_s + (turns - 1.0).max(0.0);
+        let all = self.view.machines.len().max(1);
+        let known = self.view.machines.keys();
+        let infos = known.filter_map(|&ix| self.machine_info(ix, now));
+        let booting = infos.filter(|i| i.age_ms.is_none()).count();
+        ahead * (all - booting) as f64 / all as f64
     }
 
     /// Seconds until all that waits would be begun on the fleet as it is.
@@ -215,7 +222,7 @@
             });
         }
         let limits = Limits {
-            ahead_s: self.ahead_s(),
+            ahead_s: self.ahead_s(now),
             sample: self.settings.options.queue_sample as usize,
             most: slots.len().max(300),
             lasting_s: self.waiting_s() + self.settings.options.fleet_horizon_s,
