Near the end spare large machines long tasks, not only those dear by the CPU

Cause: after the last start a large machine is held by one or two long tasks at many times a small one's price, although its CPUs are cheap. A machine is dear to hold as well if it costs four times the cheapest; a quarter of the CPUs must be on cheap ones for the rule to hold, and it begins 30 s instead of 45 s before all that waits is begun.

--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -225,7 +225,7 @@
             ahead_s: self.ahead_s(now),
             sample: self.settings.options.queue_sample as usize,
             most: slots.len().max(300),
-            lasting_s: self.waiting_s() + self.settings.options.fleet_horizon_s,
+            lasting_s: self.waiting_s() + self.settings.options.fleet_horizon_s / 1.5,
         };
         let cpus = |s: &[Slot]| -> f64 { s.iter().map(|s| s.size.cpus - s.used.cpus).sum() };
         let free = cpus(&slots);
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -2,14 +2,27 @@
 
 use super::*;
 
-/// Price of a CPU of a machine.
-fn per_cpu(frame: &Frame, spot: bool) -> f64 {
-    let price = if spot {
+/// A machine that costs this much more than the cheapest one is dear to hold for a single task.
+const DEAR_TO_HOLD: f64 = 4.0;
+
+/// Price of a machine.
+fn price(frame: &Frame, spot: bool) -> f64 {
+    if spot {
         frame.market_price
     } else {
         frame.price
-    };
-    price / frame.vcpus.max(1e-6)
+    }
+}
+
+/// Price of a CPU of a machine.
+fn per_cpu(frame: &Frame, spot: bool) -> f64 {
+    price(frame, spot) / frame.vcpus.max(1e-6)
+}
+
+/// Whether a machine is dear, given the least prices of a CPU and of a machine.
+fn is_dear(frame: &Frame, spot: bool, cheapest: (f64, f64)) -> bool {
+    per_cpu(frame, spot) > cheapest.0 * fleet::DEAR
+        || price(frame, spot) > cheapest.1 * DEAR_TO_HOLD
 }
 
 impl Core {
@@ -98,7 +111,7 @@
     /// Machines that may take tasks now, if their blocks can be written.
     pub(crate) fn slots(&self, now: Ms) -> Vec<Slot> {
         let open = self.open_blocks(now);
-        let dear_from = self.dear_from();
+        let cheapest = self.cheapest();
         let mut coming: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
         for (m, e) in self.binding() {
             coming.entry(*m).or_default().push(*e);
@@ -129,33 +142,37 @@
                 warm: warm
                     .map(|w| w.iter().copied().collect())
                     .unwrap_or_default(),
-                dear: per_cpu(frame, m.spot) > dear_from,
+                dear: is_dear(frame, m.spot, cheapest),
             });
         }
         slots
     }
 
-    /// Price of a CPU above which a machine is dear: more than the cheap ones cost that are the
-    /// greater part of the fleet; none is where there are no such.
-    fn dear_from(&self) -> f64 {
-        let machines = self.view.machines.values();
-        let priced: Vec<(f64, f64)> = machines
-            .filter_map(|m| {
-                self.frames
-                    .get(&m.frame)
-                    .map(|f| (per_cpu(f, m.spot), f.vcpus))
-            })
-            .collect();
-        let cheapest = priced.iter().map(|p| p.0).fold(f64::INFINITY, f64::min);
-        let from = cheapest * fleet::DEAR;
-        let cpus = |cheap: bool| -> f64 {
-            let of = priced.iter().filter(|p| (p.0 <= from) == cheap);
-            of.map(|p| p.1).sum()
+    /// The least prices of a CPU and of a machine in the fleet, if a good part of it is cheap;
+    /// otherwise nothing counts as dear.
+    fn cheapest(&self) -> (f64, f64) {
+        let machines = || {
+            let all = self.view.machines.values();
+            all.filter_map(|m| self.frames.get(&m.frame).map(|f| (f, m.spot)))
         };
-        if cpus(true) > cpus(false) {
-            from
+        let least = |p: fn(&Frame, bool) -> f64| {
+            let prices = machines().map(|(f, spot)| p(f, spot));
+            prices.fold(f64::INFINITY, f64::min)
+        };
+        let cheapest = (least(per_cpu), least(price));
+        let (mut cheap, mut all) = (0.0, 0.0);
+        for (f, spot) in machines() {
+            all += f.vcpus;
+            cheap += if is_dear(f, spot, cheapest) {
+                0.0
+            } else {
+                f.vcpus
+            };
+        }
+        if cheap * 4.0 > all {
+            cheapest
         } else {
-            f64::INFINITY
+            (f64::INFINITY, f64::INFINITY)
         }
     }
 
