Refuse to send what the service would refuse for ever; count unfinished jobs only

Found by reading for what grows with the fleet: a transaction of moves and flushed jobs could pass 64 KiB where values may be 32 KiB, a block's value could pass its limit when endings tear ranges apart, and such a write would have been sent again and again. Jobs that are over counted against jobs/most until they were archived, one a second, while several end in that time. The fakes of all stories now check the size of every write; stories: no_write_is_larger_than_the_ service_takes_however_full_the_blocks_are, the_times_of_every_proof_add_up_whatever_the_deployment.

--- a/src/api.rs
+++ b/src/api.rs
@@ -201,7 +201,7 @@
         // More than can be kept in memory is refused at once; what was accepted stays accepted.
         let full = {
             let core = self.shared.core.lock();
-            core.view.jobs.len() >= core.settings.options.jobs_most as usize
+            core.view.unfinished() >= core.settings.options.jobs_most as usize
         };
         if full {
             let refusal = later(StatusCode::TOO_MANY_REQUESTS, "too many unfinished jobs");
--- a/src/core/endings.rs
+++ b/src/core/endings.rs
@@ -10,6 +10,9 @@
 const FLUSH_ABOVE: f64 = 0.6;
 /// Jobs whose list is moved at a time: each costs a change, and frees the list in every block.
 const FLUSHED: usize = 3;
+/// Most bytes of values in one transaction: the service takes 64 KiB altogether (PROTOCOL, commit),
+/// keys and conditions included.
+pub(crate) const TXN_BYTES: usize = 56 * 1024;
 
 impl Core {
     /// Gives up machines whose tasks are surely gone.
@@ -80,13 +83,14 @@
             if !self.idle(op, now) || self.block_busy(id) {
                 continue;
             }
-            if let Some((txn, payload)) = self.plan_ends(id) {
+            if let Some((txn, payload)) = self.plan_ends(id, usize::MAX) {
                 self.submit(op, txn, payload, out);
             }
         }
     }
 
-    fn plan_ends(&mut self, id: BlockId) -> Option<(Txn, Payload)> {
+    /// Plans the write of a block's endings and moves, of so many endings at most.
+    fn plan_ends(&mut self, id: BlockId, most_ends: usize) -> Option<(Txn, Payload)> {
         let mut payload = Payload {
             blocks: vec![id],
             ..Payload::default()
@@ -94,6 +98,9 @@
         let mut draft = self.view.draft(id);
         for (&ix, m) in &mut draft.machines {
             for (entry, end) in self.ends.get(&ix).into_iter().flatten() {
+                if payload.ends.len() >= most_ends {
+                    break;
+                }
                 let Some(at) = m.queue.iter().position(|e| e == entry) else {
                     continue;
                 };
@@ -118,17 +125,27 @@
             records.push((id, record, bytes));
         }
         let most = self.settings.value_bytes();
-        if records.len() > 1 && records.iter().any(|r| r.2 > most * 9 / 10) {
-            // The thief's block has no room for more: the endings go without the moves.
+        let total: usize = records.iter().map(|r| r.2).sum();
+        if records.len() > 1 && (total > TXN_BYTES || records.iter().any(|r| r.2 > most * 9 / 10)) {
+            // The thief's block, or the transaction, has no room for more: the endings go without
+            // the moves.
             for e in payload.moves.iter().flat_map(|m| &m.entries) {
                 self.reserved.remove(e);
             }
-            return self.plan_ends(id);
+            return self.plan_ends(id, most_ends);
+        }
+        let mut flushed = Vec::new();
+        if let Some((_, record, bytes)) = records.iter_mut().find(|r| r.0 == id) {
+            flushed = self.flush(record, *bytes, TXN_BYTES.saturating_sub(total));
+            // A value that the service would refuse for ever is not sent: fewer endings tear fewer
+            // ranges apart. Bindings leave enough room that this comes to an end.
+            let size = serde_json::to_string(record).map_or(0, |s| s.len());
+            if size > most {
+                let fewer = payload.ends.len() / 2;
+                warn!(block = id.0, size, fewer, "a block's value is too large");
+                return (fewer > 0).then(|| self.plan_ends(id, fewer)).flatten();
+            }
         }
-        let flushed = match records.iter_mut().find(|r| r.0 == id) {
-            Some((_, record, bytes)) => self.flush(record, *bytes),
-            None => Vec::new(),
-        };
         let mut txn = Txn::default();
         for (id, record, _) in &records {
             // Whoever holds the thief's block must hold it still, as must we the victim's.
@@ -137,12 +154,10 @@
             txn.guards.push(self.guard(&key));
             txn.then.push(put(&key, record, None));
         }
-        for (job, here) in flushed {
-            if let Some(change) = self.job_change(job, &here) {
-                let key = job_key(self.view.names.jobs.name(job));
-                txn.guards.push(self.guard(&key));
-                txn.then.push(change);
-            }
+        for (job, change) in flushed {
+            let key = job_key(self.view.names.jobs.name(job));
+            txn.guards.push(self.guard(&key));
+            txn.then.push(change);
         }
         Some((txn, payload))
     }
@@ -197,7 +212,13 @@
     }
 
     /// Chooses jobs whose own keys take over the done tasks of a block that has grown large.
-    fn flush(&self, record: &mut BlockRecord, bytes: usize) -> Vec<(JobIx, RangeSet)> {
+    /// The transaction has so much `room` for them.
+    fn flush(
+        &self,
+        record: &mut BlockRecord,
+        bytes: usize,
+        mut room: usize,
+    ) -> Vec<(JobIx, Change)> {
         let most = self.settings.value_bytes() as f64;
         let listed: usize = record.d.iter().map(|d| d.1.text_len() + 8).sum();
         let full = bytes as f64 > most * FLUSH_ABOVE && listed as f64 > most * 0.15;
@@ -208,11 +229,23 @@
         let ops = self.settings.platform.settings.state.txn_ops;
         let number = if very_full { ops / 2 } else { FLUSHED };
         record.d.sort_by_key(|d| std::cmp::Reverse(d.1.text_len()));
-        let names = &self.view.names.jobs;
-        let flushed = record.d.drain(..number.min(record.d.len()));
+        let mut flushed = Vec::new();
+        let mut kept = Vec::new();
+        for (j, tasks) in std::mem::take(&mut record.d) {
+            let job = record.j.get(j).and_then(|j| self.view.names.jobs.get(j));
+            let change = job
+                .filter(|_| flushed.len() < number)
+                .and_then(|job| Some((job, self.job_change(job, &tasks)?)));
+            match change {
+                Some((job, Change::Put { put, v, permit })) if v.size() <= room => {
+                    room -= v.size();
+                    flushed.push((job, Change::Put { put, v, permit }));
+                }
+                _ => kept.push((j, tasks)),
+            }
+        }
+        record.d = kept;
         flushed
-            .filter_map(|(j, tasks)| Some((names.get(record.j.get(j)?)?, tasks)))
-            .collect()
     }
 
     /// A write of a job's own key that shows every task known to be done, and `more`.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,7 +4,7 @@
 //! the [`Action`]s that come back; tests do the same with fakes.
 
 pub(crate) mod commits;
-mod endings;
+pub(crate) mod endings;
 mod lease;
 mod peers;
 mod reports;
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -301,7 +301,7 @@
             };
             if let Change::Put { put, v, .. } = &change {
                 size += v.size() + 100;
-                if size > 50_000 {
+                if size > TXN_BYTES {
                     break;
                 }
                 txn.guards.push(self.guard(put));
@@ -316,7 +316,6 @@
         if now < self.lead.next_archive || self.refused_lately(now) {
             return None;
         }
-        self.lead.next_archive = now.plus(4000);
         let most = (self.settings.platform.settings.state.txn_ops / 2).min(4);
         let binding: HashSet<JobIx> = self.binding().map(|b| b.1.task.job).collect();
         let over: Vec<JobIx> = self
@@ -331,19 +330,30 @@
             // The watch has passed it: no older change can bring the job back after its drop.
             .filter(|(_, j)| j.stamp <= self.view.ledger)
             .map(|(&ix, _)| ix)
-            .take(most)
             .collect();
+        // The more of them there are, the sooner the next turn: jobs that end faster than they
+        // leave would fill the memory.
+        let wait = 4000 / (1 + over.len() as u64 / 50);
+        self.lead.next_archive = now.plus(wait.max(500));
         if over.is_empty() {
             return None;
         }
         let mut txn = Txn::default();
-        for ix in over {
+        let mut size = 0;
+        for ix in over.into_iter().take(most) {
             let job = &self.view.jobs[&ix];
             let name = self.view.names.jobs.name(ix);
             let key = job_key(name);
-            txn.guards.push(self.guard(&key));
             let record = job.record(job.stored.clone(), job.status);
-            txn.then.push(put(&past_key(name), &record, None));
+            let change = put(&past_key(name), &record, None);
+            if let Change::Put { v, .. } = &change {
+                size += v.size();
+            }
+            if size > TXN_BYTES && !txn.then.is_empty() {
+                break;
+            }
+            txn.guards.push(self.guard(&key));
+            txn.then.push(change);
             txn.then.push(Change::Drop { drop: key });
         }
         Some(txn)
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -12,6 +12,7 @@
 use crate::balance::{self, Factors, Levels, Pack, Role};
 use crate::clock::Ms;
 use crate::core::commits::Payload;
+use crate::core::endings::TXN_BYTES;
 use crate::core::{Action, Core, Move, Op, needs_of, put};
 use crate::fleet::{self, Demand, Offer, Rented, Rules};
 use crate::names::{FrameIx, HostIx, ImageIx, Index, JobIx, MachineIx, TeamIx, ZoneIx};
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -310,7 +310,7 @@
     /// the fleet, which demand and the cloud decide.
     fleet_most: "fleet/most" = 100000.0 in 1.0..=1000000.0;
     /// Most unfinished jobs; more are answered with 429.
-    jobs_most: "jobs/most" = 3000.0 in 1.0..=1000000.0;
+    jobs_most: "jobs/most" = 20000.0 in 1.0..=1000000.0;
     /// Milliseconds between messages to a peer.
     peers_period_ms: "peers/period-ms" = 700.0 in 100.0..=10000.0;
     /// Seconds of silence after which a peer is suspected.
@@ -516,6 +516,45 @@
         );
     }
 
+    #[test]
+    fn the_times_of_every_proof_add_up_whatever_the_deployment() {
+        // Controllers, machines, sockets, report, lease and cancellation in seconds, value in KiB.
+        for (count, machines, sockets, report_s, lease_s, cancel_s, value_kb) in [
+            (3, 32, 1500, 2.0, 12.0, 37.0, 4.0),
+            (3, 40, 1800, 3.0, 19.0, 49.0, 32.0),
+            (5, 450, 1500, 2.0, 12.0, 37.0, 4.0),
+            (3, 701, 1800, 3.0, 19.0, 49.0, 32.0),
+            (5, 1830, 4101, 5.0, 26.5, 51.5, 4.0),
+            (3, 1830, 3282, 5.0, 26.5, 56.5, 32.0),
+        ] {
+            let mut s = small();
+            let p = &mut s.platform.settings;
+            (p.count, p.state.value_kb) = (count, value_kb);
+            p.resources.max_sockets = Some(sockets);
+            p.workers = Workers {
+                report_s,
+                lease_s,
+                cancel_s,
+            };
+            let (lease, cancel) = ((lease_s * 1000.0) as u64, (cancel_s * 1000.0) as u64);
+            let slow = |ms: u64| (ms as f64 * (1.0 + DRIFT / 2.0)) as u64;
+            // A holder that is cut off ends before its lease does, on whichever clock, and its
+            // workers after it before a cancellation is due.
+            assert!(slow(s.authority_ms()) < s.block_lease_ms());
+            assert!(s.block_lease_ms() + slow(lease) + 1000 < cancel);
+            // Who counts a worker's lease, or a stranger's and then the worker's, counts enough.
+            assert!(s.worker_gone_ms() > slow(lease));
+            assert!(s.stranger_gone_ms() > slow(s.block_lease_ms()) + slow(lease));
+            // An answer that waits reaches a worker before it gives up, and several reports fit
+            // into its lease.
+            assert!(s.answer_wait_ms() <= 3000);
+            assert!(s.report_due_ms() * 2 < lease);
+            // One that is left alone has room for all workers and as many users.
+            assert!(s.connections() > machines + 300, "{machines} machines");
+            assert!(s.open_tasks() * 14 < s.value_bytes());
+        }
+    }
+
     #[test]
     fn a_bad_platform_file_says_what_is_wrong_in_one_line() {
         let e = Platform::parse(&PLATFORM.replace("cancel_s = 37.0", "cancel_s = 13.0"));
--- a/src/view.rs
+++ b/src/view.rs
@@ -709,6 +709,12 @@
         record
     }
 
+    /// Number of jobs that are not over.
+    pub fn unfinished(&self) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|j| j.status == JobStatus::Pending).count()
+    }
+
     /// The highest revision known here, by the watch or by an own commit.
     pub fn latest(&self) -> u64 {
         self.ledger.max(self.own)
--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -494,6 +494,41 @@
     );
 }
 
+#[test]
+fn no_write_is_larger_than_the_service_takes_however_full_the_blocks_are() {
+    // Few blocks of many machines, small values, and jobs whose tasks end in no order.
+    let mut w = World::sized(24, 3, 90);
+    w.settings.platform.settings.teams[0].cpus_max = 5000.0;
+    w.settings.platform.settings.state.write_rps = 6.0;
+    w.settings.platform.settings.state.value_kb = 1.5;
+    (0..3).for_each(|i| w.crash(i));
+    (0..3).for_each(|i| w.start(i));
+    w.run(20_000);
+    w.cloud_up = false;
+    let jobs: Vec<String> = (1..=60)
+        .map(|n| {
+            w.run_ms = 2000 + u64::from(n * 7919 % 17) * 1000;
+            w.run(500);
+            let mut spec = w.spec(40);
+            spec.vcpus = 0.25;
+            spec.ram_gb = 0.1;
+            w.submit(n, spec)
+        })
+        .collect();
+    let largest = |w: &World| {
+        let blocks = w.state.list("qb/block/").0;
+        blocks.iter().map(|b| b.v.size()).max().unwrap_or(0)
+    };
+    let mut full = 0;
+    for _ in 0..60 {
+        w.run(1000);
+        full = full.max(largest(&w));
+    }
+    assert!(full > 1000, "the blocks never filled up: {full}");
+    w.until(400_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
+    w.assert_kept();
+}
+
 #[test]
 fn an_idle_machine_that_reports_every_five_seconds_is_not_called_deaf() {
     // Reports that come later than an answer's time runs out are no sign of deafness where the
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -706,6 +706,7 @@
             (Mood::Slow(_), _) => Mood::Good,
             (mood, _) => mood,
         };
+        self.check_size(&txn);
         let outcome = match mood {
             Mood::Good => self.state.commit(&txn),
             Mood::LosesAnswers => {
@@ -722,6 +723,27 @@
         matches!(outcome, Outcome::Done(_))
     }
 
+    /// What the service would call malformed would be sent again and again.
+    fn check_size(&mut self, txn: &Txn) {
+        let s = &self.settings.platform.settings.state;
+        let value = |c: &Change| match c {
+            Change::Put { v, .. } => v.size(),
+            Change::Drop { .. } => 0,
+        };
+        let largest = txn.then.iter().map(value).max().unwrap_or(0);
+        let all = serde_json::to_string(txn).expect("plain data").len();
+        if largest as f64 > s.value_kb * 1024.0
+            || txn.then.len() > s.txn_ops
+            || txn.guards.len() > s.txn_ops * 4
+            || all > 64 * 1024
+        {
+            let (ops, guards) = (txn.then.len(), txn.guards.len());
+            let what =
+                format!("commit: {largest} of {all} bytes, {ops} changes, {guards} conditions");
+            self.broken.push(what);
+        }
+    }
+
     fn play_worker(&mut self, at: usize) {
         let (now, lease) = (self.now, 12_000);
         let w = &mut self.workers[at];
