--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -363,11 +363,12 @@
         job
     }
 
-    /// One of five troubles of a controller.
+    /// One of six troubles of a controller.
     pub fn trouble(&mut self, i: usize, kind: u32, luck: &mut SmallRng) {
         match kind {
             0 => self.crash(i),
             1 => self.links[i].state = Mood::Refuses,
+            2 if luck.random_bool(0.5) => self.links[i].state = Mood::Slow(1500),
             2 => self.links[i].state = Mood::Late(luck.random_range(200..8000)),
             3 => self.links[i].peers = false,
             _ => self.links[i].workers = false,
