--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -306,6 +306,10 @@
         if seed % 2 == 0 {
             w.copies = vec![1500, 14_000];
         }
+        if seed % 3 == 0 {
+            // Also from lives of controllers that are over.
+            w.peer_copies = vec![900, 8000, 30_000];
+        }
         let jobs: Vec<String> = (1..=4).map(|n| w.submit(n, w.spec(20))).collect();
         for _ in 0..12 {
             let i = luck.random_range(0..5);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -292,6 +292,9 @@
     pub settings: Settings,
     /// Of each report copies arrive this many ms later, at any controller.
     pub copies: Vec<u64>,
+    /// Of each message between controllers copies arrive this many ms later.
+    pub peer_copies: Vec<u64>,
+    late_news: Vec<(u64, usize, PeerNews)>,
     /// Controllers on different sides do not reach each other.
     pub side: Vec<u8>,
     late_reports: Vec<(u64, usize, Report)>,
@@ -331,6 +334,8 @@
             drift: vec![0.0; nodes],
             settings,
             copies: Vec::new(),
+            peer_copies: Vec::new(),
+            late_news: Vec::new(),
             side: vec![0; nodes],
             late_reports: Vec::new(),
             given: BTreeSet::new(),
@@ -596,6 +601,13 @@
                 n.core.on_report(report, clock);
             }
         }
+        let due = self.late_news.extract_if(.., |n| n.0 <= self.now);
+        for (_, node, news) in due.collect::<Vec<_>>() {
+            let clock = self.clock(node);
+            if let Some(n) = self.nodes[node].as_mut() {
+                n.core.answer_peer(news, clock);
+            }
+        }
         self.check();
     }
 
@@ -661,6 +673,9 @@
                 if apart || !self.links[i].peers || !self.links[j].peers {
                     return false;
                 }
+                for &age in &self.peer_copies {
+                    self.late_news.push((self.now + age, j, (*news).clone()));
+                }
                 let theirs = self.clock(j);
                 if let Some(peer) = self.nodes[j].as_mut() {
                     core.on_peer(peer.core.answer_peer(*news, theirs), now);
