Tidy: one list of what a failed write may have done, a value's text made once, one price

Read again for what was written twice; no change of behaviour meant: - moves waiting for the replica were kept beside the writes that made them (release, unseen); - a machine whose answer waits is known by its runtime, not by a second map; - the text of a block's value is made once, and again only when done lists left it; - the leader's message about new machines, a machine's price and 'its queue lists something' each stood in two or three places; - machines that have an image are listed only where a sample is taken; - the ends of two chance stories and of two stories of controllers back within a moment.

--- a/src/core/commits.rs
+++ b/src/core/commits.rs
@@ -155,14 +155,10 @@
                 self.counters.conflicts += 1;
                 debug!(?op, ledger, "a condition failed");
                 self.op_wait.insert(op, ledger);
-                let moves = flight.payload.moves.iter();
-                let entries = moves.flat_map(|m| m.entries.clone()).collect();
-                // An unanswered copy may have made the move: the tasks stay put until the
-                // replica shows which queue lists them.
-                self.release.push((ledger, entries));
-                // It may as well have bound tasks or placed machines: until the replica shows
-                // whether it did, none of them is bound or placed in another block. Other blocks
-                // need not wait for this one's failed guard.
+                // An unanswered copy may have made the moves, bound the tasks or placed the
+                // machines: until the replica shows whether it did, the tasks stay put, and nothing
+                // is bound or placed in another block. Other blocks need not wait for this one's
+                // failed guard.
                 self.unseen.push((ledger, flight.payload));
                 // Somebody else was faster; the next try need not wait for its turn.
                 self.op_after.insert(op, now.plus(jitter / 4));
--- a/src/core/endings.rs
+++ b/src/core/endings.rs
@@ -118,15 +118,16 @@
         if payload.ends.is_empty() && payload.moves.is_empty() {
             return None;
         }
-        let mut records: Vec<(BlockId, BlockRecord, usize)> = Vec::new();
+        let mut records: Vec<(BlockId, BlockRecord, Json)> = Vec::new();
         for (&id, draft) in &drafts {
             let record = self.view.seal(draft);
-            let bytes = serde_json::to_string(&record).map_or(0, |s| s.len());
-            records.push((id, record, bytes));
+            let value = Json::of(&record);
+            records.push((id, record, value));
         }
         let most = self.settings.value_bytes();
-        let total: usize = records.iter().map(|r| r.2).sum();
-        if records.len() > 1 && (total > TXN_BYTES || records.iter().any(|r| r.2 > most * 9 / 10)) {
+        let total: usize = records.iter().map(|r| r.2.size()).sum();
+        let fills = |r: &(BlockId, BlockRecord, Json)| r.2.size() > most * 9 / 10;
+        if records.len() > 1 && (total > TXN_BYTES || records.iter().any(fills)) {
             // The thief's block, or the transaction, has no room for more: the endings go without
             // the moves.
             for e in payload.moves.iter().flat_map(|m| &m.entries) {
@@ -135,11 +136,14 @@
             return self.plan_ends(id, most_ends);
         }
         let mut flushed = Vec::new();
-        if let Some((_, record, bytes)) = records.iter_mut().find(|r| r.0 == id) {
-            flushed = self.flush(record, *bytes, TXN_BYTES.saturating_sub(total));
+        if let Some((_, record, value)) = records.iter_mut().find(|r| r.0 == id) {
+            flushed = self.flush(record, value.size(), TXN_BYTES.saturating_sub(total));
+            if !flushed.is_empty() {
+                *value = Json::of(record);
+            }
             // A value that the service would refuse for ever is not sent: fewer endings tear fewer
             // ranges apart. Bindings leave enough room that this comes to an end.
-            let size = serde_json::to_string(record).map_or(0, |s| s.len());
+            let size = value.size();
             if size > most {
                 let fewer = payload.ends.len() / 2;
                 warn!(block = id.0, size, fewer, "a block's value is too large");
@@ -147,12 +151,13 @@
             }
         }
         let mut txn = Txn::default();
-        for (id, record, _) in &records {
+        for (id, _, v) in records {
             // Whoever holds the thief's block must hold it still, as must we the victim's.
-            txn.guards.push(self.guard(&grant_key(*id)));
-            let key = block_key(*id);
-            txn.guards.push(self.guard(&key));
-            txn.then.push(put(&key, record, None));
+            txn.guards.push(self.guard(&grant_key(id)));
+            let put = block_key(id);
+            txn.guards.push(self.guard(&put));
+            let permit = None;
+            txn.then.push(Change::Put { put, v, permit });
         }
         for (job, change) in flushed {
             let key = job_key(self.view.names.jobs.name(job));
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -186,15 +186,11 @@
             }
         }
         let ledger = self.view.ledger;
-        let due: Vec<Entry> = self
-            .release
-            .extract_if(.., |r| r.0 <= ledger)
-            .flat_map(|r| r.1)
-            .collect();
-        for e in due {
-            self.reserved.remove(&e);
+        for (_, seen) in self.unseen.extract_if(.., |u| u.0 <= ledger) {
+            for e in seen.moves.iter().flat_map(|m| &m.entries) {
+                self.reserved.remove(e);
+            }
         }
-        self.unseen.retain(|u| u.0 > ledger);
         // Kept in the state service too, for controllers that start while the cloud is away.
         if self.frames.is_empty()
             && let Some(frames) = self.view.catalog.clone()
@@ -218,12 +214,11 @@
             let machines = self.view.blocks.get(&id).map(|b| b.machines.clone());
             for ix in machines.unwrap_or_default() {
                 self.follow_machine(ix, token, now);
-                let given = self
-                    .view
-                    .machines
-                    .get(&ix)
-                    .is_some_and(|m| !m.queue.is_empty());
-                if given && self.waiting.remove(&ix).is_some() {
+                if let Some(rt) = self.rt.get_mut(&ix)
+                    && rt.waits
+                    && self.view.lists_any(ix)
+                {
+                    rt.waits = false;
                     self.woken.push(ix);
                 }
             }
@@ -262,7 +257,6 @@
             self.count_running(&rt.legs, false);
         }
         self.ends.remove(&ix);
-        self.waiting.remove(&ix);
         for mv in self.moves.extract_if(.., |mv| mv.victim == ix) {
             for e in &mv.entries {
                 self.reserved.remove(e);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -169,6 +169,8 @@
     /// The latest report without our token after one that showed it: a late copy, or a worker that
     /// has begun anew.
     pub low: Option<(u64, u64, Ms)>,
+    /// The answer to its newest report waits for a task.
+    pub waits: bool,
     /// Since when ended tasks wait to be cleared.
     pub clear_since: Option<Ms>,
     /// Its worker has begun anew: only under a new token do its reports prove anything.
@@ -306,8 +308,6 @@
     running: HashMap<JobIx, u32>,
     pub(crate) moves: Vec<Move>,
     pub(crate) reserved: HashSet<Entry>,
-    /// Entries to be released once the replica is at the revision.
-    release: Vec<(u64, Vec<Entry>)>,
     /// What writes with a failed condition may have done all the same, by a copy that had no
     /// answer, until the replica is at the revision.
     unseen: Vec<(u64, commits::Payload)>,
@@ -319,9 +319,7 @@
     refused_at: Option<Ms>,
     /// When a user was last refused for it.
     user_refused: Option<Ms>,
-    /// Machines without tasks whose answers wait, by the number of the report.
-    waiting: HashMap<MachineIx, (u64, u64)>,
-    /// Those of them that have been given tasks.
+    /// Machines whose answers wait and that have been given tasks.
     woken: Vec<MachineIx>,
     /// Nothing new is planned before the replica is at this revision.
     wait_ledger: u64,
@@ -394,14 +392,12 @@
             running: HashMap::new(),
             moves: Vec::new(),
             reserved: HashSet::new(),
-            release: Vec::new(),
             unseen: Vec::new(),
             ops: HashMap::new(),
             op_after: HashMap::new(),
             op_wait: HashMap::new(),
             refused_at: None,
             user_refused: None,
-            waiting: HashMap::new(),
             woken: Vec::new(),
             wait_ledger: 0,
             peers: HashMap::new(),
@@ -492,8 +488,7 @@
                 self.tick_balance(now, &mut out);
             }
         }
-        let hasty = self.hasty && now >= self.next_hasty;
-        if now >= self.next_peers || !self.outbox.is_empty() || hasty {
+        if now >= self.next_peers || !self.outbox.is_empty() || self.hasty_due(now) {
             self.tick_peers(now, &mut out);
         }
         out
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -127,13 +127,18 @@
         self.submit(Op::Lead, txn, commits::Payload::default(), out);
     }
 
+    /// Whether the leader is to be told now of machines that came up.
+    pub(crate) fn hasty_due(&self, now: Ms) -> bool {
+        self.hasty && now >= self.next_hasty
+    }
+
     pub(crate) fn tick_peers(&mut self, now: Ms, out: &mut Vec<Action>) {
         let periodic = now >= self.next_peers;
         if periodic {
             self.next_peers = now.plus(self.settings.options.peers_period_ms as u64);
         }
         // Machines that come up are of use only once the leader knows of them.
-        let hasty = self.hasty && now >= self.next_hasty;
+        let hasty = self.hasty_due(now);
         if hasty {
             self.hasty = false;
             self.next_hasty = now.plus(HASTY_MS);
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -136,12 +136,7 @@
         }
         // Until the machine obeys, our answers may or may not reach it. When it still does not
         // after all this time, they end, so that the lease of what it might run ends too.
-        let listed = self
-            .view
-            .machines
-            .get(&ix)
-            .is_some_and(|m| !m.queue.is_empty());
-        if listed && now.since(rt.since) > self.settings.stranger_gone_ms() {
+        if self.view.lists_any(ix) && now.since(rt.since) > self.settings.stranger_gone_ms() {
             return Worth::Nothing;
         }
         Worth::Answer
@@ -157,12 +152,7 @@
         token: u64,
         now: Ms,
     ) -> Reply {
-        let listed = self
-            .view
-            .machines
-            .get(&ix)
-            .is_some_and(|m| !m.queue.is_empty());
-        if listed || r.legs.iter().any(|l| l.status != LegStatus::Ended) {
+        if self.view.lists_any(ix) || r.legs.iter().any(|l| l.status != LegStatus::Ended) {
             return Reply::Unavailable;
         }
         info!(rig = r.rig, "a machine that was given up is back");
@@ -224,6 +214,7 @@
             .filter(|s| s.is_finite())
             .map(|s| now.plus((s.max(0.0) * 1000.0) as u64));
         rt.launched.clear();
+        rt.waits = false;
         let before = std::mem::take(&mut rt.legs);
         let ends_before = self.ends.get(&ix).map_or(&[][..], Vec::as_slice);
         let ended_before = |e: &Entry| ends_before.iter().any(|x| x.0 == *e);
@@ -427,7 +418,7 @@
         if !idle || !usable || !rt.launched.is_empty() || rt.newest != number || self.slow(now) {
             return None;
         }
-        self.waiting.insert(ix, number);
+        self.rt.get_mut(&ix)?.waits = true;
         Some(self.settings.answer_wait_ms())
     }
 
@@ -446,9 +437,6 @@
         let Some((ix, grant)) = held else {
             return Reply::Unavailable;
         };
-        if self.waiting.get(&ix) == Some(&number) {
-            self.waiting.remove(&ix);
-        }
         if grant.host != self.me || grant.boot != self.boot || !self.has_authority(now) {
             return Reply::Elsewhere(None);
         }
@@ -459,6 +447,9 @@
         let stands = rt.token == grant.stamp && rt.newest == number && rt.obeys();
         let machine = self.view.machines.get(&ix);
         let leaving = machine.is_none_or(|m| m.leaving) || rt.sick;
+        if stands {
+            rt.waits = false;
+        }
         let reply = if stands && !leaving {
             let mut used = Room::default();
             for job in rt
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -5,24 +5,15 @@
 /// A machine that costs this much more than the cheapest one is dear to hold for a single task.
 const DEAR_TO_HOLD: f64 = 4.0;
 
-/// Price of a machine.
-fn price(frame: &Frame, spot: bool) -> f64 {
-    if spot {
-        frame.market_price
-    } else {
-        frame.price
-    }
-}
-
 /// Price of a CPU of a machine.
 fn per_cpu(frame: &Frame, spot: bool) -> f64 {
-    price(frame, spot) / frame.vcpus.max(1e-6)
+    frame.price_of(spot) / frame.vcpus.max(1e-6)
 }
 
 /// Whether a machine is dear, given the least prices of a CPU and of a machine.
 fn is_dear(frame: &Frame, spot: bool, cheapest: (f64, f64)) -> bool {
     per_cpu(frame, spot) > cheapest.0 * fleet::DEAR
-        || price(frame, spot) > cheapest.1 * DEAR_TO_HOLD
+        || frame.price_of(spot) > cheapest.1 * DEAR_TO_HOLD
 }
 
 impl Core {
@@ -159,7 +150,7 @@
             let prices = machines().map(|(f, spot)| p(f, spot));
             prices.fold(f64::INFINITY, f64::min)
         };
-        let cheapest = (least(per_cpu), least(price));
+        let cheapest = (least(per_cpu), least(Frame::price_of));
         let (mut cheap, mut all) = (0.0, 0.0);
         for (f, spot) in machines() {
             all += f.vcpus;
--- a/src/leader/renting.rs
+++ b/src/leader/renting.rs
@@ -285,11 +285,7 @@
                 zone: m.zone,
                 spot: m.spot,
                 size,
-                price: if m.spot {
-                    frame.market_price
-                } else {
-                    frame.price
-                },
+                price: frame.price_of(m.spot),
                 idle_s: idle.filter(|_| up).map(|i| i as f64 / 1000.0),
                 held_s: held as f64 / 1000.0,
             });
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -238,11 +238,10 @@
             continue;
         };
         // Machines that have the image are few among many, and a sample of all would miss them.
-        let warm: Vec<usize> = open
-            .iter()
-            .copied()
-            .filter(|&i| slots[i].warm.contains(&job.image))
-            .collect();
+        let mut warm: Vec<usize> = Vec::new();
+        if open.len() > limits.sample {
+            warm.extend(open.iter().filter(|i| slots[**i].warm.contains(&job.image)));
+        }
         let mut taken = 0;
         for &leg in &job.tasks {
             if out.len() >= limits.most || !within(&job.needs.room, team) {
--- a/src/view.rs
+++ b/src/view.rs
@@ -720,6 +720,12 @@
         self.ledger.max(self.own)
     }
 
+    /// Whether a machine's queue lists anything.
+    pub fn lists_any(&self, machine: MachineIx) -> bool {
+        let m = self.machines.get(&machine);
+        m.is_some_and(|m| !m.queue.is_empty())
+    }
+
     /// The holder of a machine's block.
     pub fn holder(&self, machine: MachineIx) -> Option<(BlockId, Owner)> {
         let block = self.machines.get(&machine)?.block;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -315,6 +315,13 @@
     pub yards: Vec<String>,
 }
 
+impl Frame {
+    /// Price of a machine, ordinary or spot.
+    pub fn price_of(&self, spot: bool) -> f64 {
+        if spot { self.market_price } else { self.price }
+    }
+}
+
 /// `GET /catalog`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Catalog {
--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -22,6 +22,13 @@
     (w, job)
 }
 
+/// The job of a [`busy`] world is done in the end, and each of its tasks was started once.
+fn nothing_lost(w: &mut World, job: &str) {
+    w.until(60_000, "done", |w| w.is_done(job));
+    w.assert_kept();
+    assert_eq!(w.starts.len(), 16, "running work was lost");
+}
+
 /// Positions of the machines that run something.
 fn with_tasks(w: &World) -> Vec<usize> {
     let busy = |&i: &usize| !w.workers[i].tasks.is_empty();
@@ -200,9 +207,7 @@
         w.until(40_000, "others hold its machines", |w| {
             w.workers.iter().all(|m| w.holder(&m.rig.name).is_some())
         });
-        w.until(60_000, "done", |w| w.is_done(&job));
-        w.assert_kept();
-        assert_eq!(w.starts.len(), 16, "running work was lost");
+        nothing_lost(&mut w, &job);
     }
 }
 
@@ -239,9 +244,7 @@
             w.links[i].state = Mood::Good;
             w.run(200);
         }
-        w.until(60_000, "done", |w| w.is_done(&job));
-        w.assert_kept();
-        assert_eq!(w.starts.len(), 16, "running work was lost");
+        nothing_lost(&mut w, &job);
     }
 }
 
@@ -333,9 +336,7 @@
                 w.heal();
             }
         }
-        w.heal();
-        w.until(200_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
-        w.assert_kept();
+        w.all_end_well(&jobs);
     }
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -501,9 +501,7 @@
                 w.heal();
             }
         }
-        w.heal();
-        w.until(200_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
-        w.assert_kept();
+        w.all_end_well(&jobs);
     }
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -567,6 +567,13 @@
         }
     }
 
+    /// Ends every trouble; all jobs must be done in the end, with the rules kept.
+    pub fn all_end_well(&mut self, jobs: &[String]) {
+        self.heal();
+        self.until(200_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
+        self.assert_kept();
+    }
+
     /// Plays on for a while.
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms;
