--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -179,6 +179,7 @@
             self.reserved.retain(|e| stays(&e.task.job));
             self.running.retain(|j, _| stays(j));
             self.fails.retain(|j, _| stays(j));
+            self.told_over.retain(stays);
             self.lead.forget_jobs(&released);
             for p in self.peers.values_mut() {
                 p.fails.retain(|f| stays(&f.0));
@@ -198,6 +199,7 @@
             self.on_catalog(crate::wire::Catalog { frames });
         }
         let touched = std::mem::take(&mut self.view.touched);
+        self.note_withdrawn(touched.withdrawn, now);
         for host in touched.loads {
             self.signs.insert(host, now);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,7 +25,7 @@
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use tracing::{debug, info, warn};
 
 /// Something for the service to do.
@@ -327,6 +327,10 @@
     /// When each controller's queue totals last arrived by way of the state service.
     signs: HashMap<HostIx, Ms>,
     strays: HashMap<String, StrayRt>,
+    /// Jobs that were cancelled lately, and when that became known here.
+    withdrawn: VecDeque<(Ms, String)>,
+    /// Jobs that the replica shows as pending and a peer knows to be cancelled.
+    told_over: HashSet<JobIx>,
     pub(crate) fails: HashMap<JobIx, Fails>,
     pub(crate) ratios: HashMap<ClassIx, f64>,
     /// Catalog by index, once known.
@@ -403,6 +407,8 @@
             peers: HashMap::new(),
             signs: HashMap::new(),
             strays: HashMap::new(),
+            withdrawn: VecDeque::new(),
+            told_over: HashSet::new(),
             fails: HashMap::new(),
             ratios: HashMap::new(),
             frames: HashMap::new(),
@@ -669,21 +675,30 @@
         room
     }
 
-    /// Bound tasks by job and zone.
+    /// Bound tasks by job and zone, those included whose binding is under way.
+    ///
+    /// Guards against a write that has no answer yet: the rest of a job that must stay together
+    /// would be bound in another zone meanwhile.
     pub(crate) fn zones_of(&self) -> HashMap<JobIx, HashMap<ZoneIx, u32>> {
         let mut zones: HashMap<JobIx, HashMap<ZoneIx, u32>> = HashMap::new();
-        for m in self.view.machines.values() {
-            for e in &m.queue {
-                *zones
-                    .entry(e.task.job)
-                    .or_default()
-                    .entry(m.zone)
-                    .or_default() += 1;
-            }
+        let listed = self.view.machines.values();
+        let listed = listed.flat_map(|m| m.queue.iter().map(|e| (m.zone, e)));
+        let coming = self.binding().filter_map(|(ix, e)| {
+            let machine = self.view.machines.get(ix)?;
+            Some((machine.zone, e))
+        });
+        for (zone, e) in listed.chain(coming) {
+            let of_job = zones.entry(e.task.job).or_default();
+            *of_job.entry(zone).or_default() += 1;
         }
         zones
     }
 
+    /// Whether no task of a job may run any more, as far as this controller knows.
+    pub(crate) fn is_over(&self, ix: JobIx, job: &Job) -> bool {
+        job.status != JobStatus::Pending || self.told_over.contains(&ix)
+    }
+
     /// A page for operators.
     pub fn status_page(&self, now: Ms) -> serde_json::Value {
         let names = &self.view.names;
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -5,6 +5,8 @@
 
 /// Least time between two messages that tell the leader of machines that came up, ms.
 const HASTY_MS: u64 = 250;
+/// Cancellations that a peer without the state service is told of at most.
+const WITHDRAWN: usize = 500;
 
 impl Core {
     pub(crate) fn silent_ms(&self) -> u64 {
@@ -158,6 +160,7 @@
                 let long = begins && self.tells_all(host);
                 let mut news = self.peer_news(long, now);
                 news.agents = agents;
+                news.withdrawn = self.withdrawn_for(host, now);
                 out.push(Action::Peer {
                     host,
                     news: Box::new(news),
@@ -189,7 +192,40 @@
         let agents_only = !news.agents.is_empty();
         self.on_peer(news, now);
         let long = !agents_only && host.is_some_and(|h| self.tells_all(h));
-        self.peer_news(long, now)
+        let mut answer = self.peer_news(long, now);
+        if let Some(host) = host {
+            answer.withdrawn = self.withdrawn_for(host, now);
+        }
+        answer
+    }
+
+    /// Takes note of cancellations that the replica shows.
+    pub(crate) fn note_withdrawn(&mut self, jobs: Vec<JobIx>, now: Ms) {
+        for job in jobs {
+            self.told_over.remove(&job);
+            let name = self.view.names.jobs.name(job).to_owned();
+            self.withdrawn.push_back((now, name));
+        }
+        let cancel_ms = (self.settings.platform.settings.workers.cancel_s * 1000.0) as u64;
+        let old = |w: &(Ms, String)| now.since(w.0) > cancel_ms;
+        while self.withdrawn.len() > WITHDRAWN || self.withdrawn.front().is_some_and(old) {
+            self.withdrawn.pop_front();
+        }
+    }
+
+    /// Cancellations that a peer is told of because the state service does not tell it.
+    ///
+    /// A controller that alone is refused goes on answering its machines while its authority
+    /// lasts. That ends in time for every cancellation, but for all tasks at once; one that hears
+    /// of a cancellation stops the tasks of that job alone, and at once.
+    fn withdrawn_for(&mut self, host: HostIx, now: Ms) -> Vec<String> {
+        // Own writes show in the replica before the next look at what a watch brought.
+        let fresh = std::mem::take(&mut self.view.touched.withdrawn);
+        self.note_withdrawn(fresh, now);
+        if self.peers.get(&host).is_none_or(|p| p.state_ok) {
+            return Vec::new();
+        }
+        self.withdrawn.iter().map(|w| w.1.clone()).collect()
     }
 
     /// What this controller tells its peers; a long message tells of its machines.
@@ -232,6 +268,7 @@
                 .iter()
                 .map(|(&j, f)| (names.jobs.name(j).to_owned(), f.count, since(f.last)))
                 .collect(),
+            withdrawn: Vec::new(),
         }
     }
 
@@ -310,6 +347,16 @@
                 .filter_map(|(j, n)| Some((names.jobs.get(j)?, *n)))
                 .collect();
         }
+        // A cancellation is final, so whoever knows of one may be believed.
+        for name in &news.withdrawn {
+            let Some(ix) = self.view.names.jobs.get(name) else {
+                continue;
+            };
+            let pending = self.view.jobs.get(&ix);
+            if pending.is_some_and(|j| j.status == JobStatus::Pending) {
+                self.told_over.insert(ix);
+            }
+        }
         for (class, ratio) in news.ratios {
             let class = self.view.names.classes.intern(&class);
             // Peers' experience counts until there is some of our own.
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -286,7 +286,7 @@
                 continue;
             }
             let Some(job) = job else { continue };
-            let stop = if job.status != JobStatus::Pending {
+            let stop = if self.is_over(task.job, job) {
                 Some(0.0)
             } else if let Some(recall) = rt.recall_at {
                 let left = recall.since(now) as f64 / 1000.0;
@@ -370,7 +370,7 @@
                 .view
                 .jobs
                 .get(&e.task.job)
-                .filter(|j| j.status == JobStatus::Pending);
+                .filter(|j| !self.is_over(e.task.job, j));
             let Some(job) = pending else {
                 if !on_it && rt.fenced && !ended {
                     freed.push((*e, End::Free));
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -5,6 +5,9 @@
 
 /// Most tasks that a job which has waited long is given at once.
 const FLOOR_TASKS: usize = 16;
+/// After waiting for so long a job goes to any machine that fits, closed and dear ones included:
+/// what saves money must not keep it waiting while there is room, seconds.
+const OVERDUE_S: f64 = 45.0;
 
 impl Core {
     /// Seconds until the rest of a job must be begun to be done in time. Without a deadline of
@@ -82,19 +85,14 @@
         now.since(last) < wait
     }
 
-    /// Whether a job has waited so long that it is served ahead of its turn: nothing was begun, or
-    /// nothing more was, for a while in which others were.
-    ///
-    /// Guards against the order of jobs: whatever stands behind a stream of more pressing work,
-    /// or is late beyond help, would not begin before the stream ends.
-    fn waits_long(&self, ix: JobIx, job: &Job, now: Ms) -> Option<f64> {
+    /// Seconds for which nothing of a job was begun, or nothing more.
+    fn waited_s(&self, ix: JobIx, job: &Job, now: Ms) -> f64 {
         let age = self.day_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
-        let since = match self.lead.served.get(&ix) {
+        match self.lead.served.get(&ix) {
             Some(&at) => now.since(at) as f64 / 1000.0,
             None if job.done.is_empty() && self.view.bound_len(ix) == 0 => age,
             None => age.min(now.since(self.lead.since) as f64 / 1000.0),
-        };
-        (since > self.settings.options.queue_floor_s).then_some(since)
+        }
     }
 
     /// How long a bound task may wait for room: the longer endings and bindings wait for their
@@ -142,10 +140,6 @@
         // The larger the world, the more a look at it costs and the less hangs on each task.
         let pause = 200 + (self.view.machines.len() + self.view.jobs.len()) as u64 / 10;
         self.lead.next_bind = now.plus(pause);
-        let mut slots = self.slots(now);
-        if slots.is_empty() {
-            return plan;
-        }
         let mut underway: HashMap<JobIx, Vec<u32>> = HashMap::new();
         for (_, e) in self.binding() {
             underway.entry(e.task.job).or_default().push(e.task.leg);
@@ -153,7 +147,8 @@
         let mut teams = self.team_room();
         let guarantee: HashMap<_, _> = self.guaranteed_left();
         let mut order: Vec<(u8, bool, f64, JobIx)> = Vec::new();
-        let mut waiting: Option<(f64, JobIx)> = None;
+        let mut overdue: HashSet<JobIx> = HashSet::new();
+        let mut first: Option<(Ms, f64, JobIx)> = None;
         for (&ix, job) in &self.view.jobs {
             if job.status != JobStatus::Pending {
                 continue;
@@ -163,10 +158,22 @@
             if open >= job.spec.legs || self.held_back(ix, now) {
                 continue;
             }
-            if let Some(since) = self.waits_long(ix, job, now)
-                && waiting.is_none_or(|w| since > w.0)
-            {
-                waiting = Some((since, ix));
+            let waited = self.waited_s(ix, job, now);
+            // Whoever waits for the team's limit has nothing to gain from a machine.
+            let may = teams
+                .get(&job.team)
+                .is_some_and(|room| job.room().cpus <= room.cpus + 1e-6);
+            if may && waited > OVERDUE_S {
+                overdue.insert(ix);
+            }
+            // Guards against the order of jobs: whatever stands behind a stream of more pressing
+            // work, or is late beyond help, would not begin before the stream ends. Each has its
+            // turn: one that fits no machine which is there would otherwise keep it for ever.
+            if may && waited > self.settings.options.queue_floor_s {
+                let turn = self.lead.turns.get(&ix).copied().unwrap_or(Ms(0));
+                if first.is_none_or(|f| (turn, -waited) < (f.0, -f.1)) {
+                    first = Some((turn, waited, ix));
+                }
             }
             let beyond = guarantee
                 .get(&job.team)
@@ -181,9 +188,16 @@
                 .then(a.3.cmp(&b.3))
         });
         let mut zones: Option<HashMap<JobIx, HashMap<ZoneIx, u32>>> = None;
+        let mut slots = self.slots(!overdue.is_empty(), now);
+        if slots.is_empty() {
+            return plan;
+        }
         let most_open = self.settings.open_tasks();
         let mut jobs: Vec<Candidate> = Vec::new();
-        let first = waiting.map(|w| w.1);
+        let first = first.map(|f| f.2);
+        if let Some(ix) = first {
+            self.lead.turns.insert(ix, now);
+        }
         let rest = order.iter().map(|o| o.3).filter(|ix| Some(*ix) != first);
         for ix in first.into_iter().chain(rest).take(200) {
             let job = &self.view.jobs[&ix];
@@ -219,6 +233,7 @@
                 run_s: self.run_s(job),
                 tasks: taken.gaps(job.spec.legs).take(most).collect(),
                 zones,
+                overdue: overdue.contains(&ix),
             });
         }
         let limits = Limits {
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -99,8 +99,9 @@
             })
     }
 
-    /// Machines that may take tasks now, if their blocks can be written.
-    pub(crate) fn slots(&self, now: Ms) -> Vec<Slot> {
+    /// Machines that may take tasks now, if their blocks can be written; on request also those
+    /// that are closed.
+    pub(crate) fn slots(&self, closed_too: bool, now: Ms) -> Vec<Slot> {
         let open = self.open_blocks(now);
         let cheapest = self.cheapest();
         let mut coming: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
@@ -113,10 +114,8 @@
             let (Some(size), Some(frame)) = (self.size(m), self.frames.get(&m.frame)) else {
                 continue;
             };
-            if !open.contains(&m.block)
-                || self.lead.closed.contains(&ix)
-                || !self.available(ix, now)
-            {
+            let closed = self.lead.closed.contains(&ix);
+            if !open.contains(&m.block) || (closed && !closed_too) || !self.available(ix, now) {
                 continue;
             }
             let warm = self.lead.warm.get(&ix);
@@ -134,6 +133,7 @@
                     .map(|w| w.iter().copied().collect())
                     .unwrap_or_default(),
                 dear: is_dear(frame, m.spot, cheapest),
+                closed,
             });
         }
         slots
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -76,6 +76,8 @@
     next_evict: Ms,
     /// When a task of a job was last bound in this term.
     served: HashMap<JobIx, Ms>,
+    /// When a job that waits too long last had its turn ahead of the others.
+    turns: HashMap<JobIx, Ms>,
     leave: BTreeSet<MachineIx>,
     /// Machines that take no new tasks, for the others suffice.
     closed: HashSet<MachineIx>,
@@ -103,6 +105,7 @@
     /// Forgets jobs whose indices may come back as other jobs.
     pub(crate) fn forget_jobs(&mut self, released: &HashSet<JobIx>) {
         self.served.retain(|j, _| !released.contains(j));
+        self.turns.retain(|j, _| !released.contains(j));
     }
 
     /// For how long the leader has been `gone` without a break, ms.
--- a/src/leader/rounds.rs
+++ b/src/leader/rounds.rs
@@ -177,7 +177,7 @@
                 .view
                 .jobs
                 .get(&e.task.job)
-                .is_some_and(|j| j.status == JobStatus::Pending)
+                .is_some_and(|j| !self.is_over(e.task.job, j))
             && self
                 .view
                 .machines
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -82,6 +82,8 @@
     pub warm: HashSet<ImageIx>,
     /// Whether a CPU here costs far more than on the cheap machines, which are most of the fleet.
     pub dear: bool,
+    /// Whether it takes no new tasks, but those of jobs that have waited for long.
+    pub closed: bool,
 }
 
 impl Slot {
@@ -165,6 +167,8 @@
     pub tasks: Vec<u32>,
     /// Bound tasks by zone.
     pub zones: HashMap<ZoneIx, u32>,
+    /// Whether it has waited so long that any machine which fits will do, however dear.
+    pub overdue: bool,
 }
 
 impl Candidate {
@@ -172,7 +176,11 @@
     /// bound where it can.
     fn lasts(&self, limits: Limits) -> bool {
         let n = &self.needs;
-        self.run_s > limits.lasting_s && n.spot && n.frames.is_none() && n.zone.is_none()
+        !self.overdue
+            && self.run_s > limits.lasting_s
+            && n.spot
+            && n.frames.is_none()
+            && n.zone.is_none()
     }
 }
 
@@ -207,6 +215,7 @@
     needs.suits(slot.frame, slot.zone, slot.spot, &slot.size)
         && needs.zone_suits(slot.zone, &job.zones)
         && !(slot.dear && job.lasts(limits))
+        && (job.overdue || !slot.closed)
 }
 
 /// Binds tasks to the lightest fitting queues while their teams have room.
@@ -226,7 +235,7 @@
     let mut open: Vec<usize> = (0..slots.len())
         .filter(|&i| slots[i].wait_s(&least) <= limits.ahead_s)
         .collect();
-    let mut failed: Vec<Needs> = Vec::new();
+    let mut failed: Vec<(bool, Needs)> = Vec::new();
     for job in jobs {
         // Room under a team's limit comes free a little at a time. It is kept for the first job
         // that waits for it: otherwise smaller tasks of later jobs would take every bit, and a
@@ -247,14 +256,16 @@
             if out.len() >= limits.most || !within(&job.needs.room, team) {
                 break;
             }
-            if failed.iter().any(|f| f.covers(&job.needs)) {
+            let hopeless = |f: &(bool, Needs)| (f.0 || !job.overdue) && f.1.covers(&job.needs);
+            if failed.iter().any(hopeless) {
                 break;
             }
             let Some(at) = choose(slots, &open, &warm, &kept, job, limits, rng) else {
                 open.retain(|&i| !kept[i] && slots[i].wait_s(&least) <= limits.ahead_s);
                 let anywhere = !job.needs.same_place && job.needs.zone_most.is_none();
+                // Where an overdue job finds nothing, nobody else does, but not the reverse.
                 if anywhere && !job.lasts(limits) {
-                    failed.push(job.needs.clone());
+                    failed.push((job.overdue, job.needs.clone()));
                 }
                 break;
             };
@@ -394,6 +405,7 @@
             fetch_gb_per_s: 0.5,
             warm: HashSet::new(),
             dear: false,
+            closed: false,
         }
     }
 
@@ -422,6 +434,7 @@
             run_s: 10.0,
             tasks: (0..n).collect(),
             zones: HashMap::new(),
+            overdue: false,
         }
     }
 
@@ -510,6 +523,33 @@
         assert_eq!(at(1).filter(|b| b.machine.raw() == 1).count(), 4);
     }
 
+    #[test]
+    fn what_has_waited_for_long_goes_to_any_machine_that_fits() {
+        // A machine closed to save money, or too dear for long tasks, kept its room for nobody.
+        let limits = Limits {
+            lasting_s: 9.0,
+            ..LIMITS
+        };
+        let bound = |overdue, dear, closed| {
+            let mut slots = [slot(0, 0, 8.0)];
+            (slots[0].dear, slots[0].closed) = (dear, closed);
+            let mut waiting = job(3, needs());
+            waiting.overdue = overdue;
+            let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(99.0))]);
+            let mut rng = SmallRng::seed_from_u64(1);
+            // One that is not overdue has found nothing before it.
+            let mut jobs = [job(3, needs()), waiting];
+            jobs[1].job = JobIx::from_raw(1);
+            let plan = plan(&mut slots, &mut jobs, &mut teams, limits, &mut rng);
+            plan.iter().filter(|b| b.job.raw() == 1).count()
+        };
+        assert_eq!(
+            [bound(false, true, false), bound(false, false, true)],
+            [0, 0]
+        );
+        assert_eq!([bound(true, true, false), bound(true, false, true)], [3, 3]);
+    }
+
     #[test]
     fn places_that_a_job_forbids_stay_empty() {
         let same = Needs {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -295,7 +295,7 @@
     queue_sample: "queues/sample" = 16.0 in 2.0..=1000.0;
     /// Seconds that a job waits at most for its first tasks, and for more of them, before it is
     /// served ahead of its turn.
-    queue_floor_s: "queues/floor-s" = 100.0 in 5.0..=3600.0;
+    queue_floor_s: "queues/floor-s" = 80.0 in 5.0..=3600.0;
     /// CPUs of running tasks that may be stopped at a time for more pressing ones.
     evict_cpus: "queues/evict-cpus" = 24.0 in 0.0..=10000.0;
     /// Seconds of work that a rented CPU should find waiting.
--- a/src/view.rs
+++ b/src/view.rs
@@ -151,6 +151,8 @@
     pub machines: Vec<MachineIx>,
     /// Controllers that published their totals.
     pub loads: Vec<HostIx>,
+    /// Jobs that were cancelled.
+    pub withdrawn: Vec<JobIx>,
 }
 
 /// What blocks say of a job's tasks that were done.
@@ -578,6 +580,9 @@
 
     fn put_job(&mut self, name: &str, r: JobRecord, stamp: u64) {
         let ix = self.names.jobs.intern(name);
+        if r.st == JobStatus::Withdrawn {
+            self.touched.withdrawn.push(ix);
+        }
         if let Some(job) = self.jobs.get_mut(&ix) {
             // The specification never changes.
             job.stamp = stamp;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -592,4 +592,7 @@
     pub ratios: Vec<(String, f64)>,
     /// Failures in a row by job, with the milliseconds since the last.
     pub fails: Vec<(String, u32, u64)>,
+    /// Jobs cancelled lately, for a peer that the state service does not answer.
+    #[serde(default)]
+    pub withdrawn: Vec<String>,
 }
--- /dev/null
+++ b/tests/meetings.rs
@@ -0,0 +1,644 @@
+//! Stories of troubles that meet, one or more for each meeting that the users list; the table in
+//! `docs/design.md` names the guard behind each.
+
+mod support;
+
+use quillbend::clock::Ms;
+use quillbend::core::Outcome;
+use quillbend::wire::{JobStatus, Urgency};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use support::{Mood, World};
+
+/// The state service refuses one controller alone; its watch hangs.
+fn refuse(w: &mut World, i: usize) {
+    w.links[i].state = Mood::Refuses;
+    w.links[i].watch_hangs = true;
+}
+
+/// Positions of the machines that run something.
+fn with_tasks(w: &World) -> Vec<usize> {
+    let busy = |&i: &usize| w.workers[i].tasks.iter().any(|t| t.ended.is_none());
+    (0..w.workers.len()).filter(busy).collect()
+}
+
+/// All jobs are done in the end, with the rules kept and no task started twice.
+fn all_once(w: &mut World, jobs: &[String], starts: usize) {
+    w.all_end_well(jobs);
+    assert_eq!(w.starts.len(), starts, "running work was lost");
+}
+
+// The gap.
+
+#[test]
+fn what_is_cancelled_just_before_an_outage_is_gone_in_time_at_the_controller_that_missed_it() {
+    for (seed, nodes, leads, deaf_to_peers) in [
+        (1, 3, true, false),
+        (2, 3, true, true),
+        (3, 5, true, true),
+        (4, 5, false, true),
+        (5, 3, false, false),
+    ] {
+        for pause in [0, 900, 2000] {
+            let (mut w, job) = World::busy(seed, nodes, 300_000);
+            w.drift[0] = -0.0005;
+            w.drift[1] = 0.0005;
+            let leader = w.leader().expect("leads");
+            let old = if leads { leader } else { (leader + 1) % nodes };
+            refuse(&mut w, old);
+            w.links[old].peers = !deaf_to_peers;
+            w.run(pause);
+            let other = (old + 1) % nodes;
+            assert!(matches!(w.cancel_through(other, &job), Outcome::Done(_)));
+            w.run(100);
+            w.outage(true);
+            w.run(64_000);
+            assert_eq!(w.running_of(&job), 0);
+            w.heal();
+            w.run(20_000);
+            assert_eq!(w.running_of(&job), 0, "it runs again");
+            w.assert_kept();
+        }
+    }
+}
+
+#[test]
+fn a_refused_controller_hears_of_cancellations_from_its_peers_and_stops_those_tasks_alone() {
+    let mut w = World::settled(6, 3, 8);
+    w.run(3000);
+    let kept = w.fill(300_000, 6);
+    let mut spec = w.spec(6);
+    spec.crew = "red".into();
+    let called_off = w.submit(2, spec);
+    w.until(15_000, "all run", |w| w.running() == 12);
+    let there = |w: &World, i: usize| {
+        let held = w
+            .workers
+            .iter()
+            .filter(|m| w.holder(&m.rig.name) == Some(i));
+        let legs = held.flat_map(|m| m.tasks.iter().map(|t| t.leg.clone()));
+        legs.filter(|l| l.starts_with(&called_off)).count()
+    };
+    let old = (0..3).max_by_key(|&i| there(&w, i)).expect("some");
+    assert!(there(&w, old) > 0);
+    refuse(&mut w, old);
+    w.run(2000);
+    let other = (old + 1) % 3;
+    w.cancel_through(other, &called_off);
+    w.run(200);
+    w.outage(true);
+    w.run(9000);
+    assert_eq!(w.running_of(&called_off), 0, "they wait for their lease");
+    assert_eq!(w.running_of(&kept), 6, "others were stopped with them");
+    w.assert_kept();
+}
+
+#[test]
+fn authority_counts_from_when_a_request_was_sent_not_from_its_answer() {
+    // A watch that was open before an outage is answered after it, as is a renewal.
+    let (mut w, _) = World::busy(7, 3, 300_000);
+    let i = (w.leader().expect("leads") + 1) % 3;
+    w.outage(true);
+    let sent = w.clock(i);
+    let until = w.core(i).authority_until().expect("it has some");
+    assert!(until <= Ms(sent.0 + w.settings.block_lease_ms()));
+    w.run(20_000);
+    let (now, ledger) = (w.clock(i), w.state.ledger());
+    let core = &mut w.nodes[i].as_mut().expect("alive").core;
+    let empty = quillbend::wire::NewsList {
+        ledger,
+        news: Vec::new(),
+    };
+    core.on_news(empty, sent, now);
+    assert!(core.authority_until().expect("some") <= Ms(sent.0 + 24_000));
+    w.run(5000);
+    let now = w.clock(i);
+    assert!(!w.core(i).has_authority(now), "an old answer prolongs it");
+}
+
+#[test]
+fn a_cancellation_has_time_for_every_term_at_the_settings_of_every_deployment() {
+    // lease_s and cancel_s of the deployments that are known, and the least that is allowed.
+    for (lease_s, cancel_s) in [
+        (12.0, 37.0),
+        (19.0, 49.0),
+        (26.5, 51.5),
+        (30.0, 60.0),
+        (8.0, 14.0),
+    ] {
+        let mut w = World::sized(8, 1, 0);
+        let workers = &mut w.settings.platform.settings.workers;
+        (workers.lease_s, workers.cancel_s) = (lease_s, cancel_s);
+        let s = &w.settings;
+        // The slowest clock that is allowed measures the authority, and the worker's its lease.
+        let authority = s.authority_ms() as f64 * 1.0005;
+        let total = authority + lease_s * 1000.0 * 1.0005;
+        assert!(
+            total + 1000.0 <= cancel_s * 1000.0,
+            "{lease_s} and {cancel_s}: {total} ms"
+        );
+    }
+}
+
+// Controllers that come and go.
+
+#[test]
+fn controllers_hand_over_and_back_all_end_and_one_returns_within_a_second() {
+    for (seed, nodes) in [(10, 3), (11, 5)] {
+        let (mut w, job) = World::busy(seed, nodes, 40_000);
+        for i in 0..nodes {
+            w.crash(i);
+            w.run(700);
+            w.start(i);
+            w.run(2500);
+        }
+        (0..nodes).for_each(|i| w.crash(i));
+        w.run(600);
+        w.start(1);
+        w.run(4000);
+        all_once(&mut w, &[job], 12);
+    }
+}
+
+#[test]
+fn a_leader_ends_while_machines_with_long_tasks_do_not_hear_its_successor() {
+    for (seed, deaf) in [(12, true), (13, false)] {
+        let (mut w, job) = World::busy(seed, 3, 60_000);
+        let hit: Vec<usize> = with_tasks(&w).into_iter().take(2).collect();
+        for &at in &hit {
+            (w.workers[at].deaf, w.workers[at].cut) = (deaf, !deaf);
+        }
+        let leader = w.leader().expect("leads");
+        w.crash(leader);
+        w.run(9000);
+        w.start(leader);
+        // Within their lease they go on, beside whatever was decided meanwhile.
+        hit.iter().for_each(|&at| {
+            w.workers[at].deaf = false;
+            w.workers[at].cut = false;
+        });
+        w.run(30_000);
+        w.all_end_well(&[job]);
+    }
+}
+
+#[test]
+fn ten_leaders_in_two_minutes_also_inside_an_outage_lose_nothing_and_rent_under_new_names() {
+    for (seed, out) in [(14, false), (15, true)] {
+        let mut w = World::settled(seed, 3, 4);
+        w.run_ms = 15_000;
+        let jobs: Vec<String> = (1..=3).map(|n| w.submit(n, w.spec(24))).collect();
+        for turn in 0..10 {
+            if let Some(leader) = w.leader() {
+                w.crash(leader);
+                if out && turn % 3 == 0 {
+                    w.outage(true);
+                    w.run(5000);
+                    w.outage(false);
+                }
+                w.run(400 + turn * 300);
+                w.start(leader);
+            }
+            w.run(9000);
+        }
+        w.all_end_well(&jobs);
+    }
+}
+
+#[test]
+fn all_controllers_are_away_for_longer_than_a_workers_lease() {
+    let (mut w, job) = World::busy(16, 3, 60_000);
+    let also = w.submit(2, w.spec(8));
+    (0..3).for_each(|i| w.crash(i));
+    w.run(14_000);
+    assert_eq!(w.running(), 0, "their lease is over");
+    w.all_end_well(&[job, also]);
+    assert_eq!(w.starts.len(), 12 + 12 + 8);
+}
+
+#[test]
+fn jobs_of_two_or_three_tasks_end_far_apart_across_changes_of_the_leader() {
+    let mut w = World::settled(17, 3, 6);
+    let mut jobs = Vec::new();
+    for n in 1..=5 {
+        // One task ends soon, the others late.
+        w.run_ms = 3000;
+        let job = w.submit(n, w.spec(2 + n % 2));
+        w.until(15_000, "one runs", |w| w.running_of(&job) > 0);
+        w.run_ms = 45_000;
+        jobs.push(job);
+    }
+    for _ in 0..4 {
+        let leader = w.leader().expect("leads");
+        w.crash(leader);
+        w.run_asking(6000, &jobs);
+        w.start(leader);
+        w.run_asking(6000, &jobs);
+    }
+    let all: u32 = jobs.iter().map(|j| w.job(j).expect("known").s.legs).sum();
+    all_once(&mut w, &jobs, all as usize);
+    w.run_asking(15_000, &jobs);
+    w.assert_kept();
+}
+
+// Zones.
+
+#[test]
+fn jobs_of_one_zone_stay_in_it_while_writes_are_unanswered_and_machines_go() {
+    // Tasks whose binding was under way did not count: the rest went to another zone.
+    for seed in 20..26 {
+        let mut luck = SmallRng::seed_from_u64(seed);
+        let mut w = World::settled(seed, 3, 24);
+        w.settings.platform.settings.teams[0].cpus_max = 90.0;
+        (0..3).for_each(|i| w.crash(i));
+        (0..3).for_each(|i| w.start(i));
+        w.run(9000);
+        w.run_ms = 12_000;
+        let mut jobs = Vec::new();
+        (0..3).for_each(|i| w.links[i].state = Mood::Slow(1500));
+        for n in 1..=8 {
+            let mut spec = w.spec(14);
+            (spec.same_place, spec.spread) = (n % 2 == 0, n % 2 == 1);
+            if n % 4 == 3 {
+                spec.yard = Some("north".into());
+            }
+            jobs.push(w.submit(n, spec));
+            w.run(1500);
+            if n % 3 == 0 {
+                let at = luck.random_range(0..w.workers.len());
+                w.workers.remove(at);
+            }
+        }
+        w.heal();
+        w.all_end_well(&jobs);
+    }
+}
+
+#[test]
+fn a_zone_with_workers_and_a_controller_is_cut_off_for_longer_than_a_lease() {
+    for cancelled in [false, true] {
+        let (mut w, job) = World::busy(27, 3, 50_000);
+        let inside = (w.leader().expect("leads") + 1) % 3;
+        w.side[inside] = 1;
+        w.strand(inside);
+        let lost: Vec<usize> = (0..w.workers.len())
+            .filter(|&i| w.workers[i].rig.yard == "south")
+            .collect();
+        for &at in &lost {
+            // They reach the controller inside and nobody else.
+            w.workers[at].only = Some(inside);
+        }
+        w.run(4000);
+        if cancelled {
+            w.cancel(&job);
+        }
+        w.run(33_000);
+        w.workers.iter_mut().for_each(|m| m.only = None);
+        w.side = vec![0; 3];
+        w.heal();
+        w.run(15_000);
+        if cancelled {
+            assert_eq!(w.running_of(&job), 0);
+            w.assert_kept();
+        } else {
+            w.all_end_well(&[job]);
+        }
+    }
+}
+
+// The state service.
+
+#[test]
+fn a_slow_service_that_refuses_the_leader_and_then_all_while_users_cancel_and_ask() {
+    for seed in 30..33 {
+        let mut w = World::settled(seed, 3, 6);
+        w.run_ms = 20_000;
+        let jobs: Vec<String> = (1..=4).map(|n| w.submit(n, w.spec(6))).collect();
+        w.until(20_000, "some run", |w| w.running() >= 12);
+        (0..3).for_each(|i| w.links[i].state = Mood::Slow(1200));
+        w.run_asking(4000, &jobs);
+        let leader = w.leader().expect("leads");
+        refuse(&mut w, leader);
+        w.run_asking(1500, &jobs);
+        w.cancel(&jobs[0]);
+        w.run_asking(600, &jobs);
+        w.outage(true);
+        w.run_asking(45_000, &jobs);
+        assert_eq!(w.running_of(&jobs[0]), 0);
+        w.heal();
+        w.run_asking(5000, &jobs);
+        w.all_end_well(&jobs[1..]);
+        w.run_asking(9000, &jobs);
+        w.assert_kept();
+    }
+}
+
+#[test]
+fn a_transaction_without_an_answer_is_carried_out_late_after_newer_ones() {
+    // In between the leader ends, so that the next one knows nothing of what is on its way.
+    for seed in 33..39 {
+        let mut luck = SmallRng::seed_from_u64(seed);
+        let mut w = World::settled(seed, 3, 8);
+        let jobs: Vec<String> = (1..=4).map(|n| w.submit(n, w.spec(12))).collect();
+        for _ in 0..8 {
+            for i in 0..3 {
+                let late = luck.random_bool(0.5);
+                let ms = luck.random_range(2000..12_000);
+                w.links[i].state = if late { Mood::Late(ms) } else { Mood::Good };
+            }
+            w.run(luck.random_range(500..3000));
+            if luck.random_bool(0.3) {
+                let i = luck.random_range(0..3);
+                w.crash(i);
+                w.run(300);
+                w.start(i);
+            }
+            (0..3).for_each(|i| w.links[i].state = Mood::Good);
+            w.run(luck.random_range(500..4000));
+        }
+        w.all_end_well(&jobs);
+    }
+}
+
+#[test]
+fn jobs_are_cancelled_through_the_new_leader_while_the_old_one_is_stranded_with_its_workers() {
+    for (seed, nodes) in [(40, 3), (41, 5)] {
+        let (mut w, job) = World::busy(seed, nodes, 200_000);
+        let old = w.leader().expect("leads");
+        w.strand(old);
+        let mut new = None;
+        w.until(20_000, "another leads", |w| {
+            let leads = |i: &usize| *i != old && w.core(*i).leads().is_some();
+            new = (0..nodes).find(leads);
+            new.is_some()
+        });
+        let new = new.expect("leads");
+        w.cancel_through(new, &job);
+        w.run(w.cancel_ms());
+        assert_eq!(w.running_of(&job), 0);
+        w.heal();
+        w.run(10_000);
+        w.assert_kept();
+    }
+}
+
+// Reports and machines.
+
+#[test]
+fn reports_arrive_again_from_earlier_sessions_and_attempts_and_at_a_new_leader() {
+    for seed in 50..54 {
+        let (mut w, job) = World::busy(seed, 3, 25_000);
+        w.copies = vec![2500, 13_000, 29_000];
+        let at = with_tasks(&w)[0];
+        // Its session ends; the next attempts run here or elsewhere.
+        w.workers[at].cut = true;
+        w.run(14_000);
+        w.workers[at].cut = false;
+        let held: Vec<_> = w.workers.iter().map(|m| m.report()).collect();
+        let leader = w.leader().expect("leads");
+        w.crash(leader);
+        w.run(5000);
+        // Held back until somebody else has acted.
+        for report in held {
+            for i in 0..3 {
+                let now = w.clock(i);
+                if let Some(n) = w.nodes[i].as_mut() {
+                    n.core.on_report(report.clone(), now);
+                }
+            }
+        }
+        w.start(leader);
+        w.all_end_well(&[job]);
+    }
+}
+
+#[test]
+fn a_team_at_its_limit_stays_within_it_when_the_leader_changes_and_machines_are_out_of_reach() {
+    for seed in 55..59 {
+        let mut w = World::settled(seed, 3, 8);
+        w.run(2000);
+        w.run_ms = 60_000;
+        let first = w.submit(1, w.spec(16));
+        w.until(15_000, "the team is at its limit", |w| w.running() == 16);
+        let waiting = w.submit(2, w.spec(16));
+        let out: Vec<usize> = with_tasks(&w).into_iter().take(3).collect();
+        out.iter().for_each(|&at| w.workers[at].hung = true);
+        w.run(1500);
+        let leader = w.leader().expect("leads");
+        w.crash(leader);
+        w.cancel(&first);
+        w.run(8000);
+        w.start(leader);
+        out.iter().for_each(|&at| w.workers[at].hung = false);
+        w.run(4000);
+        w.all_end_well(&[waiting]);
+    }
+}
+
+#[test]
+fn workers_that_reach_no_controller_lose_their_tasks_once_and_are_used_again() {
+    let (mut w, job) = World::busy(60, 3, 20_000);
+    let hit = with_tasks(&w);
+    hit.iter().for_each(|&at| w.workers[at].cut = true);
+    w.run(15_000);
+    hit.iter().for_each(|&at| w.workers[at].cut = false);
+    w.all_end_well(&[job]);
+    assert_eq!(w.starts.len(), 24);
+}
+
+#[test]
+fn what_is_cancelled_while_its_machine_hangs_does_not_go_on_for_long() {
+    for hang_ms in [5000, 11_000, 20_000, 50_000] {
+        let (mut w, job) = World::busy(61, 3, 200_000);
+        w.cancel(&job);
+        for at in with_tasks(&w) {
+            w.workers[at].hung = true;
+        }
+        w.run(hang_ms);
+        w.workers.iter_mut().for_each(|m| m.hung = false);
+        let mut ended = 0;
+        w.until(6000, "all are gone", |w| {
+            ended = w.now;
+            w.running_of(&job) == 0
+        });
+        w.run(30_000);
+        w.assert_kept();
+    }
+}
+
+#[test]
+fn an_answer_that_is_held_up_starts_nothing_after_its_controller_lost_the_machine() {
+    // The worker drops answers after 4 s; what the controller takes as launched until then must
+    // neither move nor count as free.
+    for seed in 62..66 {
+        let mut w = World::settled(seed, 3, 6);
+        w.run_ms = 10_000;
+        let jobs: Vec<String> = (1..=2).map(|n| w.submit(n, w.spec(20))).collect();
+        for turn in 0..6 {
+            let i = (w.leader().unwrap_or(0) + turn) % 3;
+            // Answers are lost for a moment, then the controller is.
+            w.workers.iter_mut().for_each(|m| m.deaf = true);
+            w.run(900);
+            w.workers.iter_mut().for_each(|m| m.deaf = false);
+            w.links[i].workers = false;
+            w.run(3500);
+            w.links[i].workers = true;
+            w.run(3000);
+        }
+        w.all_end_well(&jobs);
+    }
+}
+
+// Users.
+
+#[test]
+fn a_cancellation_a_question_and_a_repeat_meet_the_end_of_the_last_task() {
+    let (mut done, mut withdrawn) = (0, 0);
+    for seed in 0..24 {
+        let mut w = World::settled(70, 3, 3);
+        w.run_ms = 3000;
+        let job = w.submit(1, w.spec(2));
+        w.until(15_000, "both run", |w| w.running() == 2);
+        w.run(2000 + seed * 100);
+        let record = w.job(&job).expect("known");
+        for i in 0..3 {
+            w.ask(i, &job);
+        }
+        let outcome = match record.st {
+            JobStatus::Pending => w.cancel_through((seed % 3) as usize, &job),
+            _ => Outcome::Conflict(0),
+        };
+        for _ in 0..120 {
+            w.step();
+            for i in 0..3 {
+                w.ask(i, &job);
+            }
+        }
+        // A repeat of the submission is refused by what is there, also once that was moved.
+        let again = quillbend::jobs::new_record(w.spec(2), w.now);
+        let again = w.state.commit(&quillbend::jobs::accept(&job, &again));
+        assert!(matches!(again, Outcome::Conflict(_)));
+        let last = w.ask(0, &job).expect("answered");
+        match outcome {
+            Outcome::Done(_) => {
+                withdrawn += 1;
+                assert_eq!(last, JobStatus::Withdrawn);
+            }
+            _ => {
+                done += 1;
+                assert_eq!(last, JobStatus::Done);
+            }
+        }
+        w.assert_kept();
+    }
+    assert!(done > 0 && withdrawn > 0, "{done} and {withdrawn}");
+}
+
+#[test]
+fn more_work_than_room_urgent_and_not_leaves_nobody_waiting_for_good() {
+    let mut w = World::settled(71, 3, 4);
+    w.cloud_up = false;
+    w.run_ms = 5000;
+    let mut jobs = Vec::new();
+    for n in 1..=30 {
+        let mut spec = w.spec(6);
+        spec.ride_s = 5.0;
+        spec.urgency = [Urgency::Urgent, Urgency::Normal, Urgency::BestEffort][n % 3];
+        spec.crew = ["blue", "red"][n % 2].into();
+        spec.vcpus = [1.0, 2.0, 4.0][n % 3];
+        jobs.push(w.submit(n as u32, spec));
+        w.run(700);
+    }
+    (0..3).for_each(|i| w.links[i].state = Mood::Slow(800));
+    w.run(15_000);
+    w.all_end_well(&jobs);
+}
+
+#[test]
+fn a_job_that_fits_nothing_which_is_there_keeps_no_other_from_its_turn() {
+    // The longest wait alone had the turn ahead of the others, whether it could use it or not.
+    let mut w = World::settled(72, 3, 4);
+    w.cloud_up = false;
+    let mut hopeless = w.spec(4);
+    hopeless.frames = Some(vec!["large".into()]);
+    w.submit(1, hopeless);
+    w.run_ms = 6000;
+    let mut flood = 1000;
+    let mut urgent_for = |w: &mut World, seconds: u32| {
+        for _ in 0..seconds {
+            flood += 1;
+            let mut urgent = w.spec(8);
+            urgent.urgency = Urgency::Urgent;
+            w.submit(flood, urgent);
+            w.run(1000);
+        }
+    };
+    urgent_for(&mut w, 10);
+    let mut late = w.spec(20);
+    late.urgency = Urgency::BestEffort;
+    let late = w.submit(2, late);
+    let submitted = w.now;
+    urgent_for(&mut w, 150);
+    let begun = w.starts.iter().find(|s| s.1.starts_with(&late));
+    let begun = begun.map(|s| s.0 - submitted).expect("it begins");
+    assert!(begun < 150_000, "after {begun} ms");
+    w.assert_kept();
+}
+
+#[test]
+fn chance_meetings_keep_the_rules() {
+    for seed in 0..16 {
+        let nodes = [3, 5][seed as usize % 2];
+        let mut luck = SmallRng::seed_from_u64(900 + seed);
+        let mut w = World::settled(900 + seed, nodes, 8);
+        w.drift[0] = -0.0005;
+        w.drift[1] = 0.0005;
+        if seed % 3 == 0 {
+            w.copies = vec![2500, 14_000];
+        }
+        let mut open: Vec<String> = Vec::new();
+        let mut all: Vec<String> = Vec::new();
+        for n in 1..=14 {
+            if n <= 6 {
+                let mut spec = w.spec(luck.random_range(1..16));
+                spec.same_place = luck.random_bool(0.3);
+                spec.spread = !spec.same_place && luck.random_bool(0.3);
+                w.run_ms = luck.random_range(3000..40_000);
+                let job = w.submit(n, spec);
+                all.push(job.clone());
+                open.push(job);
+            }
+            let i = luck.random_range(0..nodes);
+            let at = luck.random_range(0..w.workers.len().max(1));
+            match luck.random_range(0..13) {
+                kind @ 0..=4 => w.trouble(i, kind, &mut luck),
+                5 => w.strand(i),
+                6 => refuse(&mut w, i),
+                7 => w.outage(true),
+                8 if luck.random_bool(0.3) => (0..nodes).for_each(|i| w.crash(i)),
+                8 => w.links[i].state = Mood::Late(luck.random_range(2000..12_000)),
+                kind if at < w.workers.len() => match kind {
+                    9 => w.workers[at].cut = true,
+                    10 => w.workers[at].deaf = true,
+                    11 => w.workers[at].hung = true,
+                    _ => w.restart_machine(at),
+                },
+                _ => {}
+            }
+            w.run_asking(luck.random_range(100..6000), &all);
+            if luck.random_bool(0.2) && !open.is_empty() {
+                let job = open.swap_remove(luck.random_range(0..open.len()));
+                if w.job(&job).is_some_and(|j| j.st == JobStatus::Pending) {
+                    w.cancel(&job);
+                }
+            }
+            w.run_asking(luck.random_range(100..6000), &all);
+            if luck.random_bool(0.5) {
+                w.heal();
+            }
+        }
+        w.all_end_well(&open);
+        w.run_asking(10_000, &all);
+        w.assert_kept();
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -44,6 +44,8 @@
     leases: HashMap<u64, (u64, u64)>,
     next_lease: u64,
     late: Vec<(u64, Txn)>,
+    /// It answers nobody, and leases stand still.
+    out: bool,
     /// Its revision at each moment.
     marks: Vec<(u64, u64)>,
     pub writes: u64,
@@ -190,6 +192,11 @@
 
     pub fn pass(&mut self, now: u64) {
         self.marks.push((now, self.ledger));
+        if self.out {
+            // Afterwards every lease has its full time again.
+            self.leases.values_mut().for_each(|l| l.1 = now + l.0);
+            return;
+        }
         let due: Vec<Txn> = self
             .late
             .extract_if(.., |l| l.0 <= now)
@@ -247,6 +254,10 @@
     pub cut: bool,
     /// Its reports arrive, but no answer reaches it.
     pub deaf: bool,
+    /// It stands still with all that runs on it, and may go on at any time.
+    pub hung: bool,
+    /// It reaches this controller alone.
+    pub only: Option<usize>,
     /// It fails whatever it starts.
     pub sick: bool,
     pub recall_s: Option<f64>,
@@ -287,6 +298,10 @@
     pub starts: Vec<(u64, String, String)>,
     pub broken: Vec<String>,
     pub returned: BTreeSet<String>,
+    /// When a job's user was told that it is cancelled.
+    cancelled: BTreeMap<String, u64>,
+    /// The newest final answer that a job's user was given.
+    told: BTreeMap<String, JobStatus>,
     /// How much faster than true time each controller's steady clock runs.
     pub drift: Vec<f64>,
     pub settings: Settings,
@@ -307,6 +322,9 @@
 
 pub const PLATFORM: &str = include_str!("platform.toml");
 
+/// When every story begins, ms.
+const BEGIN: u64 = 10_000_000;
+
 impl World {
     /// A world of three controllers and some machines that run already.
     pub fn new(seed: u64, machines: usize) -> World {
@@ -321,7 +339,7 @@
             Options::default(),
         );
         let mut w = World {
-            now: 10_000_000,
+            now: BEGIN,
             state: State::default(),
             nodes: (0..nodes).map(|_| None).collect(),
             links: vec![GOOD; nodes],
@@ -331,6 +349,8 @@
             starts: Vec::new(),
             broken: Vec::new(),
             returned: BTreeSet::new(),
+            cancelled: BTreeMap::new(),
+            told: BTreeMap::new(),
             drift: vec![0.0; nodes],
             settings,
             copies: Vec::new(),
@@ -360,6 +380,41 @@
         w
     }
 
+    /// A world that has settled and in which all tasks of a job run, each for `run_ms`; what is
+    /// submitted later runs for 8 s a task.
+    pub fn busy(seed: u64, nodes: usize, run_ms: u64) -> (World, String) {
+        let mut w = World::settled(seed, nodes, 8);
+        w.run(3000);
+        let job = w.fill(run_ms, 12);
+        w.run_ms = 8000;
+        (w, job)
+    }
+
+    /// Milliseconds that a cancellation has.
+    pub fn cancel_ms(&self) -> u64 {
+        (self.settings.platform.settings.workers.cancel_s * 1000.0) as u64
+    }
+
+    /// Tasks of a job that run now.
+    pub fn running_of(&self, job: &str) -> usize {
+        let tasks = self.workers.iter().flat_map(|w| &w.tasks);
+        let of_job = |t: &&Task| t.leg.rsplit_once('/').is_some_and(|l| l.0 == job);
+        tasks.filter(of_job).filter(|t| t.ended.is_none()).count()
+    }
+
+    /// Plays on while a user asks any controller for a job every second.
+    pub fn run_asking(&mut self, ms: u64, jobs: &[String]) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.run(500);
+            for i in 0..self.nodes.len() {
+                for job in jobs {
+                    self.ask(i, job);
+                }
+            }
+        }
+    }
+
     /// Submits a job and plays until all of its tasks run, each for `run_ms`.
     pub fn fill(&mut self, run_ms: u64, tasks: u32) -> String {
         self.run_ms = run_ms;
@@ -406,15 +461,18 @@
             held: None,
             cut: false,
             deaf: false,
+            hung: false,
+            only: None,
             sick: false,
             recall_s: None,
         });
         name
     }
 
-    /// A controller's steady clock.
+    /// A controller's steady clock. It drifts, but does not jump when a story sets its drift.
     pub fn clock(&self, i: usize) -> Ms {
-        Ms((self.now as f64 * (1.0 + self.drift[i])) as u64)
+        let passed = (self.now - BEGIN) as f64 * (1.0 + self.drift[i]);
+        Ms(BEGIN + passed as u64)
     }
 
     pub fn start(&mut self, i: usize) {
@@ -508,7 +566,69 @@
     pub fn cancel(&mut self, name: &str) -> Outcome {
         let record = self.job(name).expect("known");
         let txn = jobs::cancel(name, &record, self.state.stamp(&job_key(name)));
-        self.state.commit(&txn)
+        let outcome = self.state.commit(&txn);
+        if let Outcome::Done(_) = outcome {
+            self.cancelled.insert(name.into(), self.now);
+            self.tell(name, JobStatus::Withdrawn);
+        }
+        outcome
+    }
+
+    /// A user cancels through a controller that is to know at once, as the one that is asked does.
+    pub fn cancel_through(&mut self, i: usize, name: &str) -> Outcome {
+        let record = self.job(name).expect("known");
+        let txn = jobs::cancel(name, &record, self.state.stamp(&job_key(name)));
+        let outcome = self.cancel(name);
+        if let (Outcome::Done(ledger), Some(n)) = (outcome, &mut self.nodes[i]) {
+            n.core.view.apply_own(&txn, ledger);
+        }
+        outcome
+    }
+
+    /// A user asks a controller, which answers from its replica once that has reached the state
+    /// service's revision, as the door does; none if it has not yet.
+    pub fn ask(&mut self, i: usize, name: &str) -> Option<JobStatus> {
+        let view = &self.nodes[i].as_ref()?.core.view;
+        if view.ledger < self.state.ledger() {
+            return None;
+        }
+        let known = view.names.jobs.get(name).and_then(|ix| view.jobs.get(&ix));
+        let status = match known {
+            Some(job) => job.status,
+            None => self.job(name)?.st,
+        };
+        self.tell(name, status);
+        Some(status)
+    }
+
+    fn tell(&mut self, name: &str, status: JobStatus) {
+        if let Some(before) = self.told.get(name).filter(|b| **b != status) {
+            self.broken
+                .push(format!("went_back: {name} {before:?}, then {status:?}"));
+        }
+        if status == JobStatus::Done && self.done(name) < self.job(name).map_or(0, |j| j.s.legs) {
+            self.broken.push(format!("not_done: {name}"));
+        }
+        if status != JobStatus::Pending {
+            self.told.insert(name.into(), status);
+        }
+    }
+
+    /// The state service is out for everybody, or is back.
+    pub fn outage(&mut self, out: bool) {
+        self.state.out = out;
+    }
+
+    /// How a controller reaches the others now.
+    fn link(&self, i: usize) -> Link {
+        match self.state.out {
+            true => Link {
+                state: Mood::Refuses,
+                watch_hangs: true,
+                ..self.links[i]
+            },
+            false => self.links[i],
+        }
     }
 
     pub fn job(&self, name: &str) -> Option<JobRecord> {
@@ -559,7 +679,8 @@
         self.links = vec![GOOD; self.nodes.len()];
         self.workers
             .iter_mut()
-            .for_each(|m| (m.cut, m.deaf) = (false, false));
+            .for_each(|m| (m.cut, m.deaf, m.hung) = (false, false, false));
+        self.outage(false);
         for i in 0..self.nodes.len() {
             if self.nodes[i].is_none() {
                 self.start(i);
@@ -623,7 +744,7 @@
             return;
         };
         let now = self.clock(i);
-        let link = self.links[i];
+        let link = self.link(i);
         let late = match link.state {
             Mood::Good | Mood::Moody => Some(0),
             Mood::Slow(ms) => Some(ms),
@@ -656,7 +777,7 @@
     }
 
     fn carry_out(&mut self, i: usize, core: &mut Core, action: Action) -> bool {
-        let (now, mood) = (self.clock(i), self.links[i].state);
+        let (now, mood) = (self.clock(i), self.link(i).state);
         let reachable = mood != Mood::Refuses;
         match action {
             Action::NewLease { life_ms } if reachable => {
@@ -768,7 +889,9 @@
     }
 
     fn play_worker(&mut self, at: usize) {
-        let (now, lease) = (self.now, 12_000);
+        // Its clock is as slow as it may be.
+        let lease_s = self.settings.platform.settings.workers.lease_s * 1.0005;
+        let (now, lease) = (self.now, (lease_s * 1000.0) as u64);
         let w = &mut self.workers[at];
         if now < w.up_at {
             return;
@@ -779,6 +902,10 @@
             w.tasks.clear();
             w.answered = now;
         }
+        if w.hung {
+            // Within its lease it may go on as if nothing had been.
+            return;
+        }
         let mut changed = false;
         for t in w.tasks.iter_mut().filter(|t| t.ended.is_none()) {
             t.left_ms = t.left_ms.saturating_sub(100);
@@ -803,7 +930,7 @@
             }
             let reply = core.answer_late(&rig, number, clock);
             match reached {
-                true => self.take_answer(at, reply),
+                true => self.take_answer(at, reply, sent),
                 false => self.give_up(at, sent),
             }
             return;
@@ -815,13 +942,14 @@
         w.tally += 1;
         let report = w.report();
         let node = w.at;
+        let reaches = w.only.is_none_or(|o| o == node);
         for &age in &self.copies {
             let to = self.rng.random_range(0..self.nodes.len());
             self.late_reports.push((now + age, to, report.clone()));
         }
         let clock = self.clock(node);
         let (rig, number) = (report.rig.clone(), (report.shift, report.tally));
-        let reply = match (&mut self.nodes[node], self.links[node].workers) {
+        let reply = match (&mut self.nodes[node], self.links[node].workers && reaches) {
             (Some(n), true) => {
                 let reply = n.core.on_report(report, clock);
                 let nothing = matches!(&reply, Reply::Orders(o) if o.orders.is_empty());
@@ -840,7 +968,7 @@
             self.give_up(at, now);
             return;
         }
-        self.take_answer(at, reply);
+        self.take_answer(at, reply, now);
     }
 
     /// A worker that has no answer to what it sent gives up and goes on to the next controller.
@@ -853,7 +981,7 @@
         w.silent_until = w.next_report;
     }
 
-    fn take_answer(&mut self, at: usize, reply: Reply) {
+    fn take_answer(&mut self, at: usize, reply: Reply, sent: u64) {
         let now = self.now;
         let w = &mut self.workers[at];
         w.held = None;
@@ -863,7 +991,7 @@
                     w.next_report = now + 500;
                 }
                 w.baton = o.baton;
-                w.answered = now;
+                w.answered = sent;
                 self.execute(at, o.orders);
             }
             Reply::Orders(_) => {}
@@ -908,6 +1036,7 @@
                         self.broken
                             .push(format!("{leg} starts after its job is done"));
                     }
+                    self.check_place(at, job);
                     self.starts.push((self.now, leg, rig));
                 }
                 Order::Stop { leg, attempt, .. } => {
@@ -926,7 +1055,54 @@
         }
     }
 
+    /// A task of a job has just started on a machine, where its job must permit it.
+    fn check_place(&mut self, at: usize, name: &str) {
+        let Some(spec) = self.job(name).map(|j| j.s) else {
+            return;
+        };
+        let rig = &self.workers[at].rig;
+        let of_job =
+            |t: &&Task| t.ended.is_none() && t.leg.rsplit_once('/').is_some_and(|l| l.0 == name);
+        let in_zone = |here: bool| -> usize {
+            let zone = self
+                .workers
+                .iter()
+                .filter(|w| (w.rig.yard == rig.yard) == here);
+            zone.flat_map(|w| &w.tasks).filter(of_job).count()
+        };
+        let wrong = spec
+            .frames
+            .as_ref()
+            .is_some_and(|f| !f.contains(&rig.frame))
+            || spec.yard.as_ref().is_some_and(|y| *y != rig.yard)
+            || (rig.loaners && !spec.loaners)
+            || (spec.same_place && in_zone(false) > 0)
+            || (spec.spread && in_zone(true) > spec.legs.div_ceil(2) as usize);
+        if wrong {
+            let what = format!("wrong_place: {name} on {} in {}", rig.name, rig.yard);
+            self.broken.push(what);
+        }
+    }
+
+    /// What its user called off is gone from every machine in time, wherever that hangs.
+    fn check_cancelled(&mut self) {
+        let cancel_ms = self.cancel_ms();
+        for w in &self.workers {
+            for t in w.tasks.iter().filter(|t| t.ended.is_none()) {
+                let job = t.leg.rsplit_once('/').expect("a task").0;
+                if let Some(at) = self.cancelled.get(job)
+                    && self.now > at + cancel_ms
+                {
+                    let late = self.now - at;
+                    let what = format!("ran_cancelled: {} on {} after {late}", t.leg, w.rig.name);
+                    self.broken.push(what);
+                }
+            }
+        }
+    }
+
     fn check(&mut self) {
+        self.check_cancelled();
         let mut used: HashMap<String, f64> = HashMap::new();
         for w in &self.workers {
             for t in w.tasks.iter().filter(|t| t.ended.is_none()) {
