--- /dev/null
+++ b/src/balance/tests.rs
@@ -0,0 +1,69 @@
+//! Unit tests of `balance`.
+
+use super::*;
+use crate::names::Index;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const F: Factors = Factors {
+    tolerance: 0.05,
+    pack: 0.4,
+    targets: 4,
+    hops: 0.25,
+};
+
+fn of(l: &[f64]) -> Option<Levels> {
+    Levels::new(l.iter().sum(), l.len(), &F)
+}
+
+#[test]
+fn roles_follow_the_mean() {
+    let levels = of(&[0.0, 100.0, 200.0]).expect("loads");
+    assert_eq!(
+        (levels.mean, levels.epsilon, levels.pack),
+        (100.0, 5.0, 2.0)
+    );
+    assert_eq!(levels.role(105.0), Role::Victim);
+    assert_eq!(levels.role(104.9), Role::Balanced);
+    assert_eq!(levels.role(98.1), Role::Balanced);
+    assert_eq!(levels.role(98.0), Role::Thief { steals: 1 });
+    assert_eq!(levels.role(93.0), Role::Thief { steals: 4 });
+    let idle = of(&[0.0, 0.0]).expect("loads");
+    assert_eq!(idle.role(0.0), Role::Balanced, "nothing to steal anywhere");
+    assert_eq!(of(&[]), None);
+}
+
+#[test]
+fn packs_hold_the_surplus_and_leave_the_mean() {
+    let levels = of(&[0.0, 200.0]).expect("loads");
+    let small: Vec<(u32, f64)> = (0..200).map(|i| (i, 1.0)).collect();
+    let packs = levels.packs(200.0, &small);
+    let moved: f64 = packs.iter().map(|p| p.load).sum();
+    assert!((95.0..=100.0).contains(&moved), "{moved}");
+    assert!(packs.iter().all(|p| p.load <= levels.pack + levels.gamma));
+    let big = levels.packs(200.0, &[(1, 60.0), (2, 60.0), (3, 30.0)]);
+    assert_eq!(big.iter().map(|p| p.tasks.len()).sum::<usize>(), 2);
+    assert_eq!(big[0].tasks, [3], "the smallest is given first");
+}
+
+#[test]
+fn steals_go_to_the_heaviest_and_after_the_cutoff_anywhere() {
+    let all: Vec<(MachineIx, f64)> = [9.0, 8.0, 7.0, 6.0, 5.0, 4.0, 3.0, 0.0]
+        .into_iter()
+        .zip([1, 2, 3, 4, 5, 6, 7, 0].map(MachineIx::from_raw))
+        .map(|(l, m)| (m, l))
+        .collect();
+    let me = MachineIx::from_raw(0);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut pick = |far, route: &[MachineIx]| {
+        (0..200)
+            .filter_map(|_| target(&all, far, me, route, &F, &mut rng))
+            .map(|m| m.raw())
+            .collect::<std::collections::BTreeSet<_>>()
+    };
+    assert_eq!(pick(false, &[]), [1, 2, 3, 4].into());
+    assert_eq!(pick(true, &[]), [1, 2, 3, 4, 5, 6, 7].into());
+    assert_eq!(pick(false, &[MachineIx::from_raw(1)]), [2, 3, 4, 5].into());
+    let everyone: Vec<_> = all.iter().map(|m| m.0).collect();
+    assert!(pick(true, &everyone).is_empty());
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -756,9 +756,4 @@
 }
 
 #[cfg(test)]
-pub(crate) mod tests {
-    /// The types that stories rent.
-    pub(crate) fn catalog() -> crate::wire::Catalog {
-        serde_json::from_str(include_str!("../../tests/support/catalog.json")).expect("good")
-    }
-}
+pub(crate) mod tests;
--- /dev/null
+++ b/src/fleet/tests.rs
@@ -0,0 +1,119 @@
+//! Unit tests of `fleet`.
+
+use super::*;
+use crate::queue::tests::needs;
+
+const RULES: Rules = Rules {
+    horizon_s: 60.0,
+    idle_s: 10.0,
+    most: 100,
+    charge_s: 60.0,
+};
+
+fn offer(frame: u32, cpus: f64, price: f64) -> Offer {
+    Offer {
+        frame: FrameIx::from_raw(frame),
+        size: Room {
+            cpus,
+            gpus: 0.0,
+            ram: cpus * 4.0,
+        },
+        zones: vec![ZoneIx::from_raw(0), ZoneIx::from_raw(1)],
+        price,
+        spot_price: price / 3.0,
+        boot_s: 20.0,
+    }
+}
+
+fn demand(tasks: f64, work: f64) -> Demand {
+    Demand {
+        needs: needs(),
+        tasks,
+        work,
+    }
+}
+
+fn rented(machine: u32, cpus: f64, idle_s: Option<f64>, held_s: f64) -> Rented {
+    Rented {
+        machine: MachineIx::from_raw(machine),
+        frame: FrameIx::from_raw(0),
+        zone: ZoneIx::from_raw(0),
+        spot: false,
+        size: offer(0, cpus, 1.0).size,
+        price: 1.0,
+        idle_s,
+        held_s,
+    }
+}
+
+#[test]
+fn the_cheapest_kind_is_asked_first_and_refused_ones_are_passed_over() {
+    let offers = [offer(0, 4.0, 1.0), offer(1, 64.0, 20.0)];
+    let orders = rent(&[demand(16.0, 4000.0)], &[], &offers, &RULES, |_, _, _| {
+        true
+    });
+    let asked: Vec<_> = orders
+        .iter()
+        .map(|o| (o.frame.raw(), o.spot, o.number))
+        .collect();
+    assert_eq!(asked, [(0, true, 2), (0, true, 2)], "over both zones");
+    let orders = rent(&[demand(16.0, 9000.0)], &[], &offers, &RULES, |_, z, s| {
+        !s && z.raw() == 1
+    });
+    assert_eq!((orders[0].zone.raw(), orders[0].spot), (1, false));
+}
+
+#[test]
+fn little_work_is_not_worth_many_machines() {
+    let offers = [offer(0, 4.0, 1.0)];
+    let orders = rent(&[demand(100.0, 600.0)], &[], &offers, &RULES, |_, _, _| {
+        true
+    });
+    assert_eq!(orders.iter().map(|o| o.number).sum::<u32>(), 3);
+    assert!(rent(&[], &[], &offers, &RULES, |_, _, _| true).is_empty());
+}
+
+#[test]
+fn a_job_that_no_machine_suits_gets_one_even_if_it_is_small() {
+    let offers = [offer(0, 4.0, 1.0), offer(1, 64.0, 20.0)];
+    let mut d = demand(1.0, 10.0);
+    d.needs.frames = Some(vec![FrameIx::from_raw(1)]);
+    let orders = rent(
+        &[d],
+        &[rented(0, 4.0, None, 0.0)],
+        &offers,
+        &RULES,
+        |_, _, _| true,
+    );
+    assert_eq!((orders[0].frame.raw(), orders[0].number), (1, 1));
+}
+
+#[test]
+fn idle_machines_go_back_when_they_are_paid_for_and_not_wanted() {
+    let fleet = [
+        rented(0, 4.0, Some(20.0), 100.0),
+        rented(1, 4.0, Some(20.0), 30.0),
+        rented(2, 4.0, Some(2.0), 100.0),
+        rented(3, 4.0, None, 100.0),
+    ];
+    let back = give_back(&[], &fleet, &RULES);
+    assert_eq!(back, [MachineIx::from_raw(0)]);
+    assert!(give_back(&[demand(16.0, 4000.0)], &fleet, &RULES).is_empty());
+}
+
+#[test]
+fn dear_and_empty_machines_are_closed_when_the_rest_suffices() {
+    let mut dear = rented(0, 4.0, None, 100.0);
+    dear.price = 3.0;
+    let fleet = [
+        (dear, 2.0),
+        (rented(1, 4.0, None, 100.0), 0.0),
+        (rented(2, 4.0, None, 100.0), 3.0),
+    ];
+    let closed = close(&[demand(1.0, 50.0)], &fleet, &RULES);
+    assert_eq!(closed, [1, 0].map(MachineIx::from_raw));
+    assert!(close(&[demand(30.0, 5000.0)], &fleet, &RULES).is_empty());
+    // Little work is left for its number of tasks: the dear machine is closed, no other.
+    let closed = close(&[demand(30.0, 400.0)], &fleet, &RULES);
+    assert_eq!(closed, [MachineIx::from_raw(0)]);
+}
--- /dev/null
+++ b/src/jobs/tests.rs
@@ -0,0 +1,85 @@
+//! Unit tests of `jobs`.
+
+use super::*;
+use crate::settings::tests::small;
+
+pub(crate) const GOOD: &str = r#"{"ref":"wk-000412","route":"train","crew":"blue",
+        "shape":"batch","urgency":"urgent","legs":4,"vcpus":1.0,"gpus":0,"ramGb":2.0,
+        "kit":"img-07","sizeGb":1.0,"frames":null,"samePlace":false,"spread":false,
+        "loaners":true,"rideS":20.0,"waypointS":0,"stowS":0,"dueS":100.0,"later":[1]}"#;
+
+#[test]
+fn malformed_submissions_are_told_apart_by_what_is_wrong() {
+    assert!(matches!(read(GOOD.as_bytes()), Read::Good(_)));
+    let named = [
+        ("\"legs\":4", "\"legs\":0"),
+        ("\"legs\":4", "\"legs\":100001"),
+        ("\"legs\":4", "\"legs\":-1"),
+        ("\"legs\":4", "\"legs\":1.5"),
+        ("\"legs\":4,", ""),
+        ("\"vcpus\":1.0", "\"vcpus\":-1.0"),
+        ("\"vcpus\":1.0", "\"vcpus\":\"1\""),
+        ("\"rideS\":20.0", "\"rideS\":null"),
+        ("\"batch\"", "\"gang\""),
+        ("\"urgent\"", "\"urgentest\""),
+        ("\"spread\":false", "\"spread\":0"),
+        ("\"kit\":\"img-07\"", "\"kit\":\"\""),
+    ];
+    for (from, to) in named {
+        let text = GOOD.replace(from, to);
+        assert!(
+            matches!(read(text.as_bytes()), Read::Bad(Some(_), _)),
+            "{to}"
+        );
+    }
+    let long = format!("wk-{}", "0".repeat(300));
+    for text in [
+        "".to_owned(),
+        "[]".to_owned(),
+        "{}".to_owned(),
+        GOOD.replace("wk-000412", "job-1"),
+        GOOD.replace("wk-000412", &long),
+        GOOD.replace("\"vcpus\":1.0", "\"vcpus\":1e999"),
+    ] {
+        assert!(
+            matches!(read(text.as_bytes()), Read::Bad(None, _)),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn a_job_that_no_machine_or_team_can_carry_is_named_so() {
+    let mut core = Core::new(small(), 1);
+    core.on_catalog(crate::core::tests::catalog());
+    let Read::Good(s) = read(GOOD.as_bytes()) else {
+        panic!("good")
+    };
+    assert_eq!(core.never_runs(&s.spec), None);
+    let with = |f: &dyn Fn(&mut JobSpec)| {
+        let mut spec = s.spec.clone();
+        f(&mut spec);
+        core.never_runs(&spec).is_some()
+    };
+    assert!(with(&|s| s.crew = "green".into()));
+    assert!(with(&|s| s.vcpus = 17.0));
+    assert!(with(&|s| s.gpus = 1.0));
+    assert!(with(&|s| s.ram_gb = 1e6));
+    assert!(with(&|s| s.frames = Some(vec!["none".into()])));
+    assert!(with(&|s| s.yard = Some("west".into())));
+}
+
+#[test]
+fn final_answers_stay_and_others_are_not_kept() {
+    let mut f = Finals::default();
+    let a = |st| JobAnswer {
+        name: "wk-1".into(),
+        status: st,
+        done: None,
+        running: None,
+    };
+    f.note(&a(JobStatus::Pending));
+    assert!(f.get("wk-1").is_none());
+    f.note(&a(JobStatus::Done));
+    assert_eq!(f.get("wk-1").map(|a| a.status), Some(JobStatus::Done));
+}
--- a/src/names.rs
+++ b/src/names.rs
@@ -105,20 +105,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn indices_are_dense_and_slots_come_back() {
-        let mut names = Interner::<JobIx>::default();
-        let a = names.intern("wk-1");
-        let b = names.intern("wk-2");
-        assert_eq!(names.intern("wk-1"), a);
-        assert_eq!((a.raw(), b.raw()), (0, 1));
-        names.release(a);
-        assert_eq!(names.get("wk-1"), None);
-        assert_eq!(names.name(a), "");
-        assert_eq!(names.intern("wk-3").raw(), 0);
-        assert_eq!(names.slots(), 2);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/queue/tests.rs
@@ -0,0 +1,194 @@
+//! Unit tests of `queue`.
+
+use super::*;
+use crate::names::Index;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+pub(crate) fn slot(machine: u32, zone: u32, cpus: f64) -> Slot {
+    Slot {
+        machine: MachineIx::from_raw(machine),
+        frame: FrameIx::from_raw(0),
+        zone: ZoneIx::from_raw(zone),
+        spot: false,
+        size: Room {
+            cpus,
+            gpus: 0.0,
+            ram: cpus * 4.0,
+        },
+        used: Room::default(),
+        load: 0.0,
+        fetch_gb_per_s: 0.5,
+        warm: HashSet::new(),
+        dear: false,
+        closed: false,
+    }
+}
+
+pub(crate) fn needs() -> Needs {
+    Needs {
+        room: Room {
+            cpus: 1.0,
+            gpus: 0.0,
+            ram: 1.0,
+        },
+        frames: None,
+        zone: None,
+        spot: true,
+        same_place: false,
+        zone_most: None,
+    }
+}
+
+fn job(n: u32, needs: Needs) -> Candidate {
+    Candidate {
+        job: JobIx::from_raw(0),
+        team: TeamIx::from_raw(0),
+        image: ImageIx::from_raw(0),
+        image_gb: 1.0,
+        needs,
+        run_s: 10.0,
+        tasks: (0..n).collect(),
+        zones: HashMap::new(),
+        overdue: false,
+    }
+}
+
+const LIMITS: Limits = Limits {
+    ahead_s: 3.0,
+    sample: 16,
+    most: 100,
+    lasting_s: f64::INFINITY,
+};
+
+/// Plans for one team that may use so many CPUs more.
+fn plan_all(slots: &mut [Slot], jobs: &mut [Candidate], cpus: f64) -> Vec<Binding> {
+    let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(cpus))]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    plan(slots, jobs, &mut teams, LIMITS, &mut rng)
+}
+
+fn run(slots: &mut [Slot], job: Candidate, cpus: f64) -> Vec<usize> {
+    let plan = plan_all(slots, &mut [job], cpus);
+    plan.iter().map(|b| b.machine.raw()).collect()
+}
+
+/// A job of one task that needs two CPUs, and a later one of small tasks.
+fn big_before_small() -> [Candidate; 2] {
+    let mut big = job(1, needs());
+    big.needs.room.cpus = 2.0;
+    let mut small = job(4, needs());
+    small.job = JobIx::from_raw(1);
+    [big, small]
+}
+
+#[test]
+fn bound_tasks_count_against_the_team_limit() {
+    let mut slots = [slot(0, 0, 8.0), slot(1, 0, 8.0)];
+    assert_eq!(run(&mut slots, job(9, needs()), 3.0).len(), 3);
+}
+
+#[test]
+fn room_under_a_limit_is_kept_for_the_job_that_waits_for_it() {
+    let mut slots = [slot(0, 0, 8.0)];
+    assert!(plan_all(&mut slots, &mut big_before_small(), 1.0).is_empty());
+}
+
+#[test]
+fn a_machine_is_kept_for_the_job_that_waits_for_room() {
+    let mut full = slot(0, 0, 4.0);
+    full.used.cpus = 3.0;
+    full.load = 20.0;
+    assert!(plan_all(&mut [full], &mut big_before_small(), 99.0).is_empty());
+}
+
+#[test]
+fn a_queue_takes_what_starts_at_once_and_a_little_ahead() {
+    // Ten seconds of work on each CPU: of four tasks none ends soon enough, of forty some.
+    assert_eq!(run(&mut [slot(0, 0, 4.0)], job(20, needs()), 99.0).len(), 4);
+    assert_eq!(
+        run(&mut [slot(0, 0, 40.0)], job(90, needs()), 99.0).len(),
+        46
+    );
+}
+
+#[test]
+fn tasks_go_where_their_image_is_and_then_to_the_lightest() {
+    let mut slots = [slot(0, 0, 2.0), slot(1, 0, 2.0)];
+    slots[1].warm.insert(ImageIx::from_raw(0));
+    assert_eq!(run(&mut slots, job(3, needs()), 99.0), [1, 1, 0]);
+}
+
+#[test]
+fn long_tasks_stay_off_dear_machines_when_little_waits() {
+    // A large dear machine was held to the end of the day for the longest of its tasks.
+    let mut slots = [slot(0, 0, 2.0), slot(1, 0, 8.0)];
+    slots[1].dear = true;
+    let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(99.0))]);
+    let mut short = job(4, needs());
+    (short.job, short.run_s) = (JobIx::from_raw(1), 5.0);
+    let mut jobs = [job(4, needs()), short];
+    let limits = Limits {
+        lasting_s: 9.0,
+        ..LIMITS
+    };
+    let mut rng = SmallRng::seed_from_u64(1);
+    let plan = plan(&mut slots, &mut jobs, &mut teams, limits, &mut rng);
+    let at = |j| plan.iter().filter(move |b| b.job.raw() == j);
+    assert!(at(0).count() == 2 && at(0).all(|b| b.machine.raw() == 0));
+    assert_eq!(at(1).filter(|b| b.machine.raw() == 1).count(), 4);
+}
+
+#[test]
+fn what_has_waited_for_long_goes_to_any_machine_that_fits() {
+    // A machine closed to save money, or too dear for long tasks, kept its room for nobody.
+    let limits = Limits {
+        lasting_s: 9.0,
+        ..LIMITS
+    };
+    let bound = |overdue, dear, closed| {
+        let mut slots = [slot(0, 0, 8.0)];
+        (slots[0].dear, slots[0].closed) = (dear, closed);
+        let mut waiting = job(3, needs());
+        waiting.overdue = overdue;
+        let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(99.0))]);
+        let mut rng = SmallRng::seed_from_u64(1);
+        // One that is not overdue has found nothing before it.
+        let mut jobs = [job(3, needs()), waiting];
+        jobs[1].job = JobIx::from_raw(1);
+        let plan = plan(&mut slots, &mut jobs, &mut teams, limits, &mut rng);
+        plan.iter().filter(|b| b.job.raw() == 1).count()
+    };
+    assert_eq!(
+        [bound(false, true, false), bound(false, false, true)],
+        [0, 0]
+    );
+    assert_eq!([bound(true, true, false), bound(true, false, true)], [3, 3]);
+}
+
+#[test]
+fn places_that_a_job_forbids_stay_empty() {
+    let same = Needs {
+        same_place: true,
+        ..needs()
+    };
+    let mut slots = [slot(0, 0, 2.0), slot(1, 1, 8.0)];
+    let at = run(&mut slots, job(6, same), 99.0);
+    assert!(at.iter().all(|&m| m == at[0]), "{at:?}");
+
+    let spread = Needs {
+        zone_most: Some(2),
+        ..needs()
+    };
+    let mut slots = [slot(0, 0, 8.0), slot(1, 1, 1.0)];
+    let at = run(&mut slots, job(4, spread), 99.0);
+    assert_eq!(at.iter().filter(|&&m| m == 0).count(), 2);
+
+    let mut spot = slot(0, 0, 8.0);
+    spot.spot = true;
+    let ordinary = Needs {
+        spot: false,
+        ..needs()
+    };
+    assert!(run(&mut [spot], job(1, ordinary), 99.0).is_empty());
+}
--- /dev/null
+++ b/src/ranges/tests.rs
@@ -0,0 +1,45 @@
+//! Unit tests of `ranges`.
+
+use super::*;
+
+#[test]
+fn ranges_merge_split_and_read_back() {
+    let mut set = RangeSet::new();
+    for task in [5, 1, 0, 7, 6, 2] {
+        set.insert(task);
+    }
+    assert_eq!(set.to_string(), "0-2,5-7");
+    set.remove(6);
+    assert_eq!(set.to_string(), "0-2,5,7");
+    assert_eq!(set.len(), 5);
+    assert!(set.contains(7) && !set.contains(6) && !set.contains(8));
+    assert_eq!(set.to_string().parse(), Ok(set.clone()));
+    assert_eq!(set.gaps(9).collect::<Vec<_>>(), [3, 4, 6, 8]);
+    assert_eq!(RangeSet::new().gaps(2).collect::<Vec<_>>(), [0, 1]);
+    set.insert_range(3, 10);
+    assert_eq!(set.to_string(), "0-9");
+    assert_eq!(set.gaps(9).count(), 0);
+}
+
+#[test]
+fn what_is_subtracted_is_gone_and_nothing_else() {
+    let set = |t: &str| t.parse::<RangeSet>().expect("good");
+    for (from, what, left) in [
+        ("0-9", "3-4,8", "0-2,5-7,9"),
+        ("0-9", "0-20", ""),
+        ("2-3,6-9", "0-2,4-6,9", "3,7-8"),
+        ("5", "1-4,6", "5"),
+        ("1-3,5-7,9", "2-9", "1"),
+    ] {
+        let mut s = set(from);
+        s.subtract(&set(what));
+        assert_eq!(s.to_string(), left, "{from} without {what}");
+    }
+}
+
+#[test]
+fn text_that_is_no_range_is_refused() {
+    for text in ["x", "3-1", "1-", "-4", "4294967295"] {
+        assert!(text.parse::<RangeSet>().is_err(), "{text}");
+    }
+}
--- /dev/null
+++ b/src/records/tests.rs
@@ -0,0 +1,75 @@
+//! Unit tests of `records`.
+
+use super::*;
+
+fn machine(kind: usize, queue: &[(usize, &str, u64)]) -> MachineRecord {
+    let listing = |&(j, tasks, a): &(usize, &str, u64)| (j, tasks.parse().expect("good"), a);
+    MachineRecord {
+        k: kind,
+        x: false,
+        q: queue.iter().map(listing).collect(),
+        p: Vec::new(),
+    }
+}
+
+#[test]
+fn a_block_reads_back_as_it_was_written() {
+    let mut block = BlockRecord {
+        k: vec![("big".into(), "north hall".into(), true)],
+        j: vec!["wk-000412".into(), "wk-000398".into(), "wk-7".into()],
+        a: 4000,
+        ..BlockRecord::default()
+    };
+    let mut leaving = machine(0, &[(0, "0-3,9", 0), (2, "99999", 40)]);
+    leaving.x = true;
+    leaving.p = leaving.q[..1].to_vec();
+    block.m.insert("m-000231".into(), leaving);
+    block.m.insert("m-000240".into(), machine(11, &[]));
+    for odd in ["m 1;x%20 ", "m-é1", "m-è2", ""] {
+        block.m.insert(odd.into(), machine(0, &[(1, "7", 1)]));
+    }
+    block.d.push((1, "0-40,50".parse().expect("good")));
+    let text = serde_json::to_string(&block).expect("json");
+    assert!(
+        text.contains(" 0x 0:0-3,9@0 2:255r@14 ! 0:0-3,9@0;640 11;"),
+        "{text}"
+    );
+    assert!(text.contains("0wk-000412 6398 37"), "{text}");
+    assert_eq!(
+        serde_json::from_str::<BlockRecord>(&text).expect("good"),
+        block
+    );
+    let empty = BlockRecord::default();
+    let text = serde_json::to_string(&empty).expect("json");
+    assert_eq!(
+        serde_json::from_str::<BlockRecord>(&text).expect("good"),
+        empty
+    );
+}
+
+#[test]
+fn what_is_no_block_is_refused() {
+    for text in [
+        "0a",
+        "0a ",
+        "0a x",
+        "0a 0 1",
+        "0a 0 1:2",
+        "0a 0 1:%@2",
+        "0a 0  1:2@3",
+        "0a 0 ! !",
+        "1a 0",
+        "é 0",
+        ";",
+        "0a -1",
+        "0a 0 1:3-1@2",
+    ] {
+        let value = serde_json::json!({ "m": text });
+        assert!(
+            serde_json::from_value::<BlockRecord>(value).is_err(),
+            "{text:?}"
+        );
+    }
+    assert!(serde_json::from_str::<BlockRecord>(r#"{"d":"1"}"#).is_err());
+    assert!(serde_json::from_str::<BlockRecord>(r#"{"j":"9x"}"#).is_err());
+}
--- /dev/null
+++ b/src/settings/tests.rs
@@ -0,0 +1,108 @@
+//! Unit tests of `settings`.
+
+use super::*;
+
+/// A small deployment used by stories.
+pub(crate) const PLATFORM: &str = include_str!("../../tests/support/platform.toml");
+
+pub(crate) fn small() -> Settings {
+    Settings::new(Platform::parse(PLATFORM).expect("good"), Options::default())
+}
+
+#[test]
+fn block_lease_and_worker_lease_end_before_a_cancellation_is_due() {
+    let s = small();
+    assert!(s.block_lease_ms() < 30_000);
+    let w = &s.platform.settings.workers;
+    assert!(s.block_lease_ms() as f64 + w.lease_s * 1000.0 <= w.cancel_s * 1000.0 - 1000.0);
+    assert!(s.authority_ms() < s.block_lease_ms());
+    let mut long = s.clone();
+    long.platform.settings.workers.cancel_s = 90.0;
+    assert_eq!(
+        long.block_lease_ms(),
+        30_000,
+        "the design's value is the upper bound"
+    );
+}
+
+#[test]
+fn the_times_of_every_proof_add_up_whatever_the_deployment() {
+    // Controllers, machines, sockets, report, lease and cancellation in seconds, value in KiB.
+    for (count, machines, sockets, report_s, lease_s, cancel_s, value_kb) in [
+        (3, 32, 1500, 2.0, 12.0, 37.0, 4.0),
+        (3, 40, 1800, 3.0, 19.0, 49.0, 32.0),
+        (5, 450, 1500, 2.0, 12.0, 37.0, 4.0),
+        (3, 701, 1800, 3.0, 19.0, 49.0, 32.0),
+        (5, 1830, 4101, 5.0, 26.5, 51.5, 4.0),
+        (3, 1830, 3282, 5.0, 26.5, 56.5, 32.0),
+    ] {
+        let mut s = small();
+        let p = &mut s.platform.settings;
+        (p.count, p.state.value_kb) = (count, value_kb);
+        p.resources.max_sockets = Some(sockets);
+        p.workers = Workers {
+            report_s,
+            lease_s,
+            cancel_s,
+        };
+        let (lease, cancel) = ((lease_s * 1000.0) as u64, (cancel_s * 1000.0) as u64);
+        let slow = |ms: u64| (ms as f64 * (1.0 + DRIFT / 2.0)) as u64;
+        // A holder that is cut off ends before its lease does, on whichever clock, and its
+        // workers after it before a cancellation is due.
+        assert!(slow(s.authority_ms()) < s.block_lease_ms());
+        assert!(s.block_lease_ms() + slow(lease) + 1000 < cancel);
+        // Who counts a worker's lease, or a stranger's and then the worker's, counts enough.
+        assert!(s.worker_gone_ms() > slow(lease));
+        assert!(s.stranger_gone_ms() > slow(s.block_lease_ms()) + slow(lease));
+        // An answer that waits reaches a worker before it gives up, and several reports fit
+        // into its lease.
+        assert!(s.answer_wait_ms() <= 3000);
+        assert!(s.report_due_ms() * 2 < lease);
+        // One that is left alone has room for all workers and as many users.
+        assert!(s.connections() > machines + 300, "{machines} machines");
+        assert!(s.open_tasks() * 14 < s.value_bytes());
+    }
+}
+
+#[test]
+fn a_bad_platform_file_says_what_is_wrong_in_one_line() {
+    let e = Platform::parse(&PLATFORM.replace("cancel_s = 37.0", "cancel_s = 13.0"));
+    assert!(matches!(e, Err(SettingsError::NoLease { .. })));
+    let e = Platform::parse(&PLATFORM.replace("127.0.0.1:18091", "state"))
+        .expect_err("no address")
+        .to_string();
+    assert!(e.contains("external.state") && !e.contains('\n'), "{e}");
+    let e = Platform::parse(&PLATFORM.replace("count = 3", "count = \"x\""))
+        .expect_err("no number")
+        .to_string();
+    assert!(e.contains("line") && !e.contains('\n'), "{e}");
+}
+
+#[test]
+fn options_have_defaults_ranges_and_errors_that_name_the_element() {
+    let o = Options::parse("<quillbend><balance><period-s> 2.5 </period-s></balance></quillbend>");
+    assert_eq!(
+        o.map(|o| (o.balance_period_s, o.balance_tolerance)),
+        Ok((2.5, 0.05))
+    );
+    for (text, says) in [
+        (
+            "<quillbend><balance><period-s>0</period-s></balance></quillbend>",
+            "<balance/period-s>",
+        ),
+        (
+            "<quillbend><balance><period-s/></balance></quillbend>",
+            "<balance/period-s>",
+        ),
+        (
+            "<quillbend><balance><perid>1</perid></balance></quillbend>",
+            "perid",
+        ),
+        ("<other/>", "other"),
+        ("", "quillbend"),
+        ("<quillbend>", "quillbend"),
+    ] {
+        let e = Options::parse(text).expect_err(text).to_string();
+        assert!(e.contains(says) && !e.contains('\n'), "{e}");
+    }
+}
