Loopback: one table of malformed, impossible and repeated requests

Every field of a submission in turn: missing, null, of another type, negative; 422s; repeats of a job that is done, whatever is wrong with them; cancelling what is done or unknown.

--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -157,6 +157,90 @@
     }
 }
 
+/// What users must be told of submissions that are malformed or can never run, and of a job that
+/// is done: `known` is one.
+async fn odd_requests(base: &str, known: &Value) {
+    let jobs = format!("{base}/api/jobs");
+    let mut new = known.clone();
+    new["ref"] = json!("wk-000100");
+    let with = |changes: Value| {
+        let mut spec = new.clone();
+        for (k, v) in changes.as_object().expect("fields") {
+            spec[k] = v.clone();
+        }
+        spec
+    };
+    let fields = new.as_object().expect("fields").clone();
+    let mut table: Vec<(Value, u16)> = vec![
+        (json!([]), 400),
+        (json!("text"), 400),
+        (with(json!({ "legs": 0 })), 400),
+        (with(json!({ "legs": 100_001 })), 400),
+        (with(json!({ "legs": 1.5 })), 400),
+        (with(json!({ "dueS": -1.0 })), 400),
+        (with(json!({ "dueS": "soon" })), 400),
+        (with(json!({ "yard": 7 })), 400),
+        (with(json!({ "frames": "small" })), 400),
+        (with(json!({ "frames": [1] })), 400),
+        (with(json!({ "shape": "gang" })), 400),
+        (with(json!({ "urgency": "soon" })), 400),
+        (with(json!({ "ref": "wk-1x" })), 400),
+        (with(json!({ "crew": "green" })), 422),
+        (with(json!({ "frames": [] })), 422),
+        (with(json!({ "frames": ["unheard-of"] })), 422),
+        (with(json!({ "yard": "west" })), 422),
+        (with(json!({ "vcpus": 16.5 })), 422),
+        (with(json!({ "vcpus": 5.0, "frames": ["small"] })), 422),
+        (with(json!({ "ramGb": 129.0 })), 422),
+        (with(json!({ "gpus": 1.0 })), 422),
+    ];
+    for (field, value) in &fields {
+        let mut missing = new.clone();
+        missing.as_object_mut().expect("fields").remove(field);
+        table.push((missing, 400));
+        table.push((with(json!({ field: null })), 400));
+        table.push((with(json!({ field: { "of": "another type" } })), 400));
+        if value.is_number() {
+            table.push((with(json!({ field: -1.0 })), 400));
+            table.push((with(json!({ field: "1" })), 400));
+        }
+    }
+    for (body, expected) in table {
+        let answer = call("POST", &jobs, Some(body.clone())).await;
+        assert_eq!(answer.map(|a| a.0), Some(expected), "{body}");
+        // A job that was accepted is known, however its repeat looks.
+        let mut again = body;
+        if again.is_object() && again["ref"] == "wk-000100" {
+            again["ref"] = known["ref"].clone();
+            let answer = call("POST", &jobs, Some(again.clone())).await;
+            let (status, v) = answer.expect("answered");
+            assert_eq!((status, &v["status"]), (200, &json!("done")), "{again}");
+        }
+    }
+    let never = format!("{jobs}/wk-000100");
+    let gone = format!("{jobs}/{}", known["ref"].as_str().expect("a name"));
+    let cancel = |job: &str| format!("{job}/cancel");
+    for (method, url, expected) in [
+        ("GET", never.clone(), (404, Value::Null)),
+        ("POST", cancel(&never), (404, Value::Null)),
+        ("POST", cancel(&format!("{jobs}/what")), (404, Value::Null)),
+        ("POST", cancel(&gone), (200, json!("done"))),
+        ("GET", gone, (200, json!("done"))),
+    ] {
+        let answer = call(method, &url, None).await.expect("answered");
+        assert_eq!(
+            (answer.0, answer.1["status"].clone()),
+            expected,
+            "{method} {url}"
+        );
+    }
+    // What may be null may be absent or null, and half of a spread job fits in its one zone.
+    let odd = json!({ "ref": "wk-000101", "frames": null, "yard": "north", "dueS": null,
+        "spread": true, "vcpus": 0.25 });
+    let answer = call("POST", &jobs, Some(with(odd))).await;
+    assert_eq!(answer.map(|a| a.0), Some(201));
+}
+
 #[test]
 fn the_program_starts_and_does_a_job() {
     let store = Arc::new(Mutex::new(support::State::default()));
@@ -233,6 +317,9 @@
             }
             actix_web::rt::time::sleep(Duration::from_millis(20)).await;
         }
+        if done {
+            odd_requests(&base, &spec).await;
+        }
         let status = call("GET", &format!("http://127.0.0.1:{back}/status"), None).await;
         let _ = std::fs::remove_file(&file);
         let _ = program.0.kill();
