A limit of 0 means no limit: guest teams are served; stories of bad nights

DEPLOY says that 0 means none; quillbend took it for a limit of nothing and answered 422 to all 705 of the guests' jobs (trace: "a task needs more than the team's limit (0 CPUs, 0 GPUs)"). It means no limit: the team borrows what is unused. Ruled out: an unknown team, a type that does not fit, the budget.

tests/nights.rs: guests served and giving way, thousands of single tasks, oversized tasks that do not bounce, a faulty job, controllers that stand still across each deadline, machines late or never up. The fakes know controllers that stand still.

--- a/src/api.rs
+++ b/src/api.rs
@@ -195,6 +195,7 @@
             }
         };
         if let Some(why) = never {
+            tracing::debug!(job = name, class = record.s.route, why, "refused");
             let refusal = refuse(StatusCode::UNPROCESSABLE_ENTITY, &why);
             return self.known_or(&name, refusal).await;
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -645,15 +645,20 @@
 
     /// Room that a team may still use: its limit without everything bound.
     pub(crate) fn team_room(&self) -> HashMap<TeamIx, Room> {
+        self.team_room_of(|t| (t.cpus_max, t.gpus_max))
+    }
+
+    /// What is left of so many CPUs and GPUs of each team without everything bound.
+    pub(crate) fn team_room_of(
+        &self,
+        most: impl Fn(&crate::settings::Team) -> (f64, f64),
+    ) -> HashMap<TeamIx, Room> {
         let mut room: HashMap<TeamIx, Room> = HashMap::new();
         for t in &self.settings.platform.settings.teams {
             if let Some(ix) = self.view.names.teams.get(&t.name) {
-                let limit = Room {
-                    cpus: t.cpus_max,
-                    gpus: t.gpus_max,
-                    ram: 0.0,
-                };
-                room.insert(ix, limit);
+                let (cpus, gpus) = most(t);
+                let ram = 0.0;
+                room.insert(ix, Room { cpus, gpus, ram });
             }
         }
         for m in self.view.machines.values() {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -93,7 +93,10 @@
             return Some(format!("unknown team {:?}", s.crew));
         };
         if s.vcpus > team.cpus_max + 1e-6 || s.gpus > team.gpus_max + 1e-6 {
-            return Some("a task needs more than the team's limit".into());
+            let (cpus, gpus) = (team.cpus_max, team.gpus_max);
+            return Some(format!(
+                "a task needs more than the team's limit ({cpus} CPUs, {gpus} GPUs)"
+            ));
         }
         let room = Room {
             cpus: s.vcpus,
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -21,10 +21,11 @@
             of_class.filter_map(|o| o.within_s).min_by(f64::total_cmp)
         };
         let team = s.teams.iter().find(|t| t.name == job.spec.crew);
-        let wide = team
-            .map_or(1.0, |t| t.cpus_max)
-            .max(job.spec.vcpus)
-            .max(1e-3);
+        // A team without a limit is as wide as the widest that has one.
+        let finite = s.teams.iter().map(|t| t.cpus_max).filter(|c| c.is_finite());
+        let widest = finite.fold(1.0, f64::max);
+        let wide = team.map_or(1.0, |t| t.cpus_max.min(widest));
+        let wide = wide.max(job.spec.vcpus).max(1e-3);
         let left = f64::from(job.spec.legs.saturating_sub(job.done.len()));
         let run = self.run_s(job);
         let work = left * job.spec.vcpus * run;
@@ -265,17 +266,9 @@
 
     /// CPUs that each team may still use within its guarantee.
     pub(crate) fn guaranteed_left(&self) -> HashMap<TeamIx, f64> {
-        let room = self.team_room();
-        self.settings
-            .platform
-            .settings
-            .teams
-            .iter()
-            .filter_map(|t| {
-                let ix = self.view.names.teams.get(&t.name)?;
-                let left = room.get(&ix)?.cpus;
-                Some((ix, t.cpus - (t.cpus_max - left)))
-            })
+        self.team_room_of(|t| (t.cpus, 0.0))
+            .into_iter()
+            .map(|(team, left)| (team, left.cpus))
             .collect()
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -68,12 +68,12 @@
     /// Guaranteed CPUs.
     #[serde(default)]
     pub cpus: f64,
-    /// Most CPUs.
+    /// Most CPUs; infinite where the file says 0, which means none (DEPLOY: no limit).
     pub cpus_max: f64,
     /// Guaranteed GPUs.
     #[serde(default)]
     pub gpus: f64,
-    /// Most GPUs.
+    /// Most GPUs, likewise.
     #[serde(default)]
     pub gpus_max: f64,
 }
@@ -197,8 +197,17 @@
                 None => SettingsError::Platform(e.message().to_owned()),
             }
         };
-        let platform: Platform = toml::from_str(text).map_err(one_line)?;
+        let mut platform: Platform = toml::from_str(text).map_err(one_line)?;
         platform.check()?;
+        // A guest team without a guarantee came with a limit of 0, and every job of it was refused
+        // as one that can never run: no limit is meant, it borrows whatever is unused.
+        for team in &mut platform.settings.teams {
+            for most in [&mut team.cpus_max, &mut team.gpus_max] {
+                if *most <= 0.0 {
+                    *most = f64::INFINITY;
+                }
+            }
+        }
         Ok(platform)
     }
 
--- /dev/null
+++ b/tests/nights.rs
@@ -0,0 +1,180 @@
+//! Stories of bad nights: guest teams, jobs submitted with a mistake, controllers that stand still
+//! while their clocks run on, machines that come up late or never, and many questions.
+
+mod support;
+
+use quillbend::wire::{JobStatus, Urgency};
+use support::World;
+
+/// Seconds of a story's time until something of a job starts.
+fn begins_within(w: &mut World, job: &str, ms: u64) -> u64 {
+    let since = w.now;
+    w.until(ms, "it begins", |w| w.running_of(job) > 0);
+    w.now - since
+}
+
+#[test]
+fn a_guest_team_without_guarantee_or_limit_is_served_and_gives_way() {
+    // Its limit stands as 0 in the settings, and its jobs were refused as ones that never run.
+    let mut w = World::settled(1, 3, 4);
+    w.cloud_up = false;
+    w.run_ms = 6000;
+    let mut giant = w.spec(3000);
+    (giant.crew, giant.urgency) = ("guest".into(), Urgency::BestEffort);
+    (giant.vcpus, giant.ram_gb) = (0.25, 0.1);
+    assert_eq!(w.core(0).never_runs(&giant), None);
+    let giant = w.submit(1, giant);
+    begins_within(&mut w, &giant, 10_000);
+    w.until(10_000, "it borrows the whole fleet", |w| {
+        w.running_of(&giant) >= 60
+    });
+    let theirs = w.submit(2, w.spec(8));
+    let begun = begins_within(&mut w, &theirs, 12_000);
+    w.until(20_000, "the guarantee is met", |w| {
+        w.running_of(&theirs) == 8
+    });
+    assert!(begun < 12_000);
+    // Beside a stream of work that fills its own guarantee the guest still gets on.
+    for n in 3..40 {
+        w.submit(n, w.spec(4));
+        w.run(2000);
+    }
+    let done = w.done(&giant);
+    assert!(done > 200, "{done} of the guest's tasks");
+    w.assert_kept();
+}
+
+#[test]
+fn thousands_of_single_tasks_leave_writes_and_memory_for_others() {
+    let mut w = World::settled(2, 3, 8);
+    w.cloud_up = false;
+    w.run_ms = 15_000;
+    let mut probes = Vec::new();
+    let began = w.state.writes;
+    for n in 1..=300 {
+        let mut probe = w.spec(1);
+        (probe.crew, probe.vcpus, probe.ram_gb) = ("guest".into(), 0.25, 0.1);
+        probes.push(w.submit(n, probe));
+        w.run(200);
+    }
+    let urgent = {
+        let mut spec = w.spec(4);
+        spec.urgency = Urgency::Urgent;
+        w.submit(1000, spec)
+    };
+    begins_within(&mut w, &urgent, 15_000);
+    w.until(60_000, "done", |w| probes.iter().all(|j| w.is_done(j)));
+    w.run(30_000);
+    let writes = (w.state.writes - began) as f64 / 100.0;
+    let limit = w.settings.platform.settings.state.write_rps;
+    assert!(writes < limit, "{writes} changes a second of {limit}");
+    let left = w.state.list("qb/job/").0.len();
+    assert!(left < 150, "{left} jobs that are over stay in every memory");
+    w.assert_kept();
+}
+
+#[test]
+fn a_guests_oversized_tasks_do_not_bounce_between_machines() {
+    // DESIGN: a guest team's oversized task overshoots the thief and bounces back.
+    let mut w = World::settled(3, 2_usize + 1, 6);
+    w.settings.options.queue_ahead_s = 60.0;
+    (0..3).for_each(|i| w.crash(i));
+    (0..3).for_each(|i| w.start(i));
+    w.run(9000);
+    w.cloud_up = false;
+    w.run_ms = 12_000;
+    let mut large = w.spec(24);
+    (large.crew, large.vcpus, large.ride_s) = ("guest".into(), 3.0, 12.0);
+    let large = w.submit(1, large);
+    let mut small = w.spec(40);
+    (small.crew, small.ride_s) = ("guest".into(), 3.0);
+    let small = w.submit(2, small);
+    w.until(200_000, "done", |w| w.is_done(&large) && w.is_done(&small));
+    w.assert_kept();
+    let moved: u64 = (0..3).map(|i| w.core(i).counters.stolen_tasks).sum();
+    assert!(moved <= 64 * 2, "{moved} moves of 64 tasks");
+    assert_eq!(w.starts.len(), 64);
+}
+
+#[test]
+fn a_job_submitted_with_a_mistake_takes_nothing_from_others_and_ends_when_cancelled() {
+    let mut w = World::settled(4, 3, 6);
+    w.cloud_up = false;
+    w.run_ms = 2000;
+    let faulty = w.submit(1, w.spec(12));
+    w.faulty.insert(faulty.clone());
+    w.run(40_000);
+    let before = w.starts_of(&faulty);
+    let good: Vec<String> = (2..=5).map(|n| w.submit(n, w.spec(10))).collect();
+    w.until(40_000, "the others are done", |w| {
+        good.iter().all(|j| w.is_done(j))
+    });
+    w.run(60_000);
+    let tries = w.starts_of(&faulty) - before;
+    assert!((1..=60).contains(&tries), "{tries} tries");
+    assert!(
+        w.returned.is_empty(),
+        "machines were condemned: {:?}",
+        w.returned
+    );
+    assert_eq!(
+        w.ask(0, &faulty),
+        Some(JobStatus::Pending),
+        "it stays known"
+    );
+    w.cancel(&faulty);
+    w.run(3000);
+    let tries = w.starts_of(&faulty);
+    w.run(80_000);
+    assert_eq!(w.starts_of(&faulty), tries);
+    w.assert_kept();
+}
+
+#[test]
+fn controllers_that_stand_still_across_each_deadline_act_on_nothing_that_is_over() {
+    // The clock runs on: silence, leases, authority and answers are all late when it wakes.
+    for (seed, nodes) in [(5, 3), (6, 5)] {
+        for ms in [1500, 3000, 6000, 13_000, 24_000, 40_000] {
+            for who in 0..3 {
+                let (mut w, job) = World::busy(seed, nodes, 30_000);
+                let leader = w.leader().expect("leads");
+                let frozen = match who {
+                    0 => vec![leader],
+                    1 => vec![(leader + 1) % nodes],
+                    _ => vec![leader, (leader + 1) % nodes],
+                };
+                frozen.iter().for_each(|&i| w.freeze(i, ms));
+                let grants = w.state.writes_to("qb/grant/");
+                w.run(ms + 300);
+                let moved = w.state.writes_to("qb/grant/") - grants;
+                w.run(12_000);
+                w.all_end_well(&[job]);
+                if ms <= 1500 {
+                    assert_eq!(moved, 0, "a moment's pause moved {moved} blocks");
+                }
+                if ms <= 6000 {
+                    assert_eq!(w.starts.len(), 12, "running work was lost after {ms} ms");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn machines_that_come_up_late_or_never_are_replaced_and_not_paid_for_ever() {
+    for never in [false, true] {
+        let mut w = World::settled(7, 3, 0);
+        w.slow_boot = Some(if never { u64::MAX / 4 } else { 120_000 });
+        w.run_ms = 8000;
+        let job = w.submit(1, w.spec(8));
+        w.until(30_000, "machines are rented", |w| !w.workers.is_empty());
+        let first: Vec<String> = w.workers.iter().map(|m| m.rig.name.clone()).collect();
+        w.run(5000);
+        w.slow_boot = None;
+        w.until(90_000, "done on others", |w| w.is_done(&job));
+        w.run(200_000);
+        let kept = w.workers.iter().filter(|m| first.contains(&m.rig.name));
+        assert_eq!(kept.count(), 0, "they are kept for nothing");
+        w.assert_kept();
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -265,6 +265,8 @@
 
 pub struct Node {
     pub core: Core,
+    /// It stands still until then, while its clock runs on.
+    pub frozen_until: u64,
     next_watch: u64,
     loaded: bool,
 }
@@ -298,6 +300,10 @@
     pub starts: Vec<(u64, String, String)>,
     pub broken: Vec<String>,
     pub returned: BTreeSet<String>,
+    /// Jobs submitted with a mistake: each of their tasks fails, wherever it runs.
+    pub faulty: BTreeSet<String>,
+    /// Machines that are rented come up after so many ms, if not after the usual 5 s.
+    pub slow_boot: Option<u64>,
     /// When a job's user was told that it is cancelled.
     cancelled: BTreeMap<String, u64>,
     /// The newest final answer that a job's user was given.
@@ -349,6 +355,8 @@
             starts: Vec::new(),
             broken: Vec::new(),
             returned: BTreeSet::new(),
+            faulty: BTreeSet::new(),
+            slow_boot: None,
             cancelled: BTreeMap::new(),
             told: BTreeMap::new(),
             drift: vec![0.0; nodes],
@@ -402,6 +410,12 @@
         tasks.filter(of_job).filter(|t| t.ended.is_none()).count()
     }
 
+    /// How often tasks of a job were started.
+    pub fn starts_of(&self, job: &str) -> usize {
+        let of_job = |s: &&(u64, String, String)| s.1.rsplit_once('/').is_some_and(|l| l.0 == job);
+        self.starts.iter().filter(of_job).count()
+    }
+
     /// Plays on while a user asks any controller for a job every second.
     pub fn run_asking(&mut self, ms: u64, jobs: &[String]) {
         let end = self.now + ms;
@@ -491,6 +505,7 @@
         let core = Core::new(s, self.rng.random());
         let node = Node {
             core,
+            frozen_until: 0,
             next_watch: 0,
             loaded: false,
         };
@@ -619,6 +634,18 @@
         self.state.out = out;
     }
 
+    /// A controller stands still for a while; what is asked of it then has no answer.
+    pub fn freeze(&mut self, i: usize, ms: u64) {
+        if let Some(n) = &mut self.nodes[i] {
+            n.frozen_until = self.now + ms;
+        }
+    }
+
+    fn frozen(&self, i: usize) -> bool {
+        let node = self.nodes[i].as_ref();
+        node.is_some_and(|n| self.now < n.frozen_until)
+    }
+
     /// How a controller reaches the others now.
     fn link(&self, i: usize) -> Link {
         match self.state.out {
@@ -716,12 +743,17 @@
         self.now += 100;
         self.state.pass(self.now);
         for i in 0..self.nodes.len() {
-            self.play_node(i);
+            if !self.frozen(i) {
+                self.play_node(i);
+            }
         }
         for w in 0..self.workers.len() {
             self.play_worker(w);
         }
-        let due = self.late_reports.extract_if(.., |r| r.0 <= self.now);
+        let frozen: Vec<bool> = (0..self.nodes.len()).map(|i| self.frozen(i)).collect();
+        let due = |at: u64, node: usize| at <= self.now && !frozen[node];
+        let due_news: Vec<_> = self.late_news.extract_if(.., |n| due(n.0, n.1)).collect();
+        let due = self.late_reports.extract_if(.., |r| due(r.0, r.1));
         for (_, node, report) in due.collect::<Vec<_>>() {
             let clock = self.clock(node);
             if let Some(n) = self.nodes[node].as_mut() {
@@ -729,8 +761,7 @@
                 n.core.on_report(report, clock);
             }
         }
-        let due = self.late_news.extract_if(.., |n| n.0 <= self.now);
-        for (_, node, news) in due.collect::<Vec<_>>() {
+        for (_, node, news) in due_news {
             let clock = self.clock(node);
             if let Some(n) = self.nodes[node].as_mut() {
                 n.core.answer_peer(news, clock);
@@ -798,7 +829,7 @@
                     return false;
                 };
                 let apart = self.side[i] != self.side[j];
-                if apart || !self.links[i].peers || !self.links[j].peers {
+                if apart || self.frozen(j) || !self.links[i].peers || !self.links[j].peers {
                     return false;
                 }
                 for &age in &self.peer_copies {
@@ -823,7 +854,10 @@
                 let names = match self.bookings.get(&r.booking) {
                     Some(names) => names.clone(),
                     None => (0..r.number.min(4))
-                        .map(|_| self.machine(&r.frame, &r.yard, r.loaners, 5000))
+                        .map(|_| {
+                            let boot = self.slow_boot.unwrap_or(5000);
+                            self.machine(&r.frame, &r.yard, r.loaners, boot)
+                        })
                         .collect(),
                 };
                 self.bookings.insert(r.booking.clone(), names.clone());
@@ -910,7 +944,9 @@
         for t in w.tasks.iter_mut().filter(|t| t.ended.is_none()) {
             t.left_ms = t.left_ms.saturating_sub(100);
             if t.left_ms == 0 {
-                t.ended = Some(if w.sick { Cause::Error } else { Cause::Done });
+                let job = t.leg.rsplit_once('/').map_or("", |l| l.0);
+                let fails = w.sick || self.faulty.contains(job);
+                t.ended = Some(if fails { Cause::Error } else { Cause::Done });
                 changed = true;
             }
         }
@@ -919,6 +955,12 @@
             let (rig, number) = (w.rig.name.clone(), (w.shift, w.tally));
             let clock = self.clock(node);
             let reached = self.links[node].workers && !self.workers[at].cut;
+            if self.frozen(node) {
+                if now > sent + 4000 {
+                    self.give_up(at, sent);
+                }
+                return;
+            }
             let Some(core) = self.nodes[node].as_mut().map(|n| &mut n.core) else {
                 self.give_up(at, sent);
                 return;
@@ -947,6 +989,12 @@
             let to = self.rng.random_range(0..self.nodes.len());
             self.late_reports.push((now + age, to, report.clone()));
         }
+        if self.frozen(node) {
+            // It finds the report when it goes on; nobody waits for the answer any more.
+            self.late_reports.push((now + 100, node, report));
+            self.give_up(at, now);
+            return;
+        }
         let clock = self.clock(node);
         let (rig, number) = (report.rig.clone(), (report.shift, report.tally));
         let reply = match (&mut self.nodes[node], self.links[node].workers && reaches) {
