A controller that alone is refused is replaced at once; one that stood still looks first

The leader was refused by the state service alone, its peers heard it, so it kept the leadership until its lease ran out; nothing was bound for 24 s each time, and what its machines ended was not recorded. Now the others act when it has said for 2 s that it is not served while they are: leadership and blocks go over by the same conditional writes as ever, and peers tell it which of its blocks are granted anew, so that it sends their machines there at once. It does nothing as a leader meanwhile: machines that went over to others would seem dead to it.

After standing still for longer than peers count as silent, nothing is concluded before a watch opened since has answered and the peers have had time to speak.

--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -70,6 +70,19 @@
         self.authority_until().is_some_and(|until| now < until)
     }
 
+    /// Whether this controller knows how things stand, if it ever stood still.
+    ///
+    /// Guards against timers that went on without us: machines and peers seem silent that were
+    /// well, and the replica may show a leadership that is over. Nothing is concluded before a
+    /// watch that was opened since has answered and the peers have had time to speak.
+    pub(crate) fn awake(&self, now: Ms) -> bool {
+        self.woke.is_none_or(|at| {
+            let seen = self.confirmed.is_some_and(|c| c >= at);
+            let period = self.settings.options.peers_period_ms * 2.0;
+            seen && now.since(at) > period as u64
+        })
+    }
+
     /// Whether the state service has answered lately.
     pub fn state_ok(&self, now: Ms) -> bool {
         self.state_bad_since.is_none_or(|s| now.since(s) < 1200)
@@ -200,6 +213,9 @@
         }
         let touched = std::mem::take(&mut self.view.touched);
         self.note_withdrawn(touched.withdrawn, now);
+        let grants = &self.view.grants;
+        self.told_granted
+            .retain(|id, told| grants.get(id).is_some_and(|g| g.stamp < told.0));
         for host in touched.loads {
             self.signs.insert(host, now);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -208,6 +208,8 @@
     /// The life it spoke in.
     pub boot: Option<Boot>,
     pub state_ok: bool,
+    /// Since when it says that the state service does not answer it, while it answers us.
+    pub refused_since: Option<Ms>,
     /// When it last said that it had to refuse users for the budget of changes.
     pub short_at: Option<Ms>,
     /// Ages of what it heard from others when it spoke last.
@@ -331,6 +333,8 @@
     withdrawn: VecDeque<(Ms, String)>,
     /// Jobs that the replica shows as pending and a peer knows to be cancelled.
     told_over: HashSet<JobIx>,
+    /// Blocks of ours that a peer knows to be granted anew: the token, and the holder.
+    told_granted: HashMap<BlockId, (u64, HostIx)>,
     pub(crate) fails: HashMap<JobIx, Fails>,
     pub(crate) ratios: HashMap<ClassIx, f64>,
     /// Catalog by index, once known.
@@ -351,6 +355,9 @@
     last_tick: Ms,
     /// When this controller was last kept from looking at what is due.
     stalled: Option<Ms>,
+    /// When this controller went on after it had stood still for so long that others may have
+    /// acted in its place.
+    woke: Option<Ms>,
     next_metrics: Ms,
 }
 
@@ -409,6 +416,7 @@
             strays: HashMap::new(),
             withdrawn: VecDeque::new(),
             told_over: HashSet::new(),
+            told_granted: HashMap::new(),
             fails: HashMap::new(),
             ratios: HashMap::new(),
             frames: HashMap::new(),
@@ -424,6 +432,7 @@
             started: None,
             last_tick: Ms(0),
             stalled: None,
+            woke: None,
             next_metrics: Ms(0),
         }
     }
@@ -471,6 +480,10 @@
         if self.started.is_some() && now.since(self.last_tick) > STALL_MS {
             self.stalled = Some(now);
         }
+        if self.started.is_some() && now.since(self.last_tick) > self.silent_ms() {
+            warn!(ms = now.since(self.last_tick), "stood still");
+            self.woke = Some(now);
+        }
         let started = *self.started.get_or_insert(now);
         self.last_tick = now;
         if now >= self.next_metrics {
@@ -486,11 +499,15 @@
         self.send_again(now, &mut out);
         if self.view.synced {
             self.tick_join(now, &mut out);
-            if self.has_authority(now) {
+            if self.has_authority(now) && self.awake(now) {
                 self.tick_leadership(now, started, &mut out);
                 self.find_lost(now);
                 self.tick_holder(now, &mut out);
-                self.tick_leader(now, &mut out);
+                // Others act in place of one that alone is refused; its machines go over to them,
+                // and would seem dead to it.
+                if !self.left_out(now) {
+                    self.tick_leader(now, &mut out);
+                }
                 self.tick_balance(now, &mut out);
             }
         }
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -7,6 +7,8 @@
 const HASTY_MS: u64 = 250;
 /// Cancellations that a peer without the state service is told of at most.
 const WITHDRAWN: usize = 500;
+/// After a peer has said for so long that it alone is refused, others act in its place, ms.
+const REFUSED_MS: u64 = 2000;
 
 impl Core {
     pub(crate) fn silent_ms(&self) -> u64 {
@@ -101,8 +103,10 @@
                     && self.corroborated(l.host, now);
                 // What a peer says of its life may lag behind its key by a message or two.
                 let reborn = self.reborn(l.host, l.boot, now);
-                let wait = self.lead.lead_lost_for(replaced || silent || reborn, now);
-                let patience = if replaced || silent { 0 } else { 1500 };
+                let refused = self.refused_alone(l.host, now);
+                let gone = replaced || silent || refused;
+                let wait = self.lead.lead_lost_for(gone || reborn, now);
+                let patience = if gone { 0 } else { 1500 };
                 // The lowest-numbered controller that is heard goes first.
                 let rank = self
                     .others
@@ -160,7 +164,7 @@
                 let long = begins && self.tells_all(host);
                 let mut news = self.peer_news(long, now);
                 news.agents = agents;
-                news.withdrawn = self.withdrawn_for(host, now);
+                self.tell_refused(host, &mut news, now);
                 out.push(Action::Peer {
                     host,
                     news: Box::new(news),
@@ -194,7 +198,7 @@
         let long = !agents_only && host.is_some_and(|h| self.tells_all(h));
         let mut answer = self.peer_news(long, now);
         if let Some(host) = host {
-            answer.withdrawn = self.withdrawn_for(host, now);
+            self.tell_refused(host, &mut answer, now);
         }
         answer
     }
@@ -213,19 +217,49 @@
         }
     }
 
-    /// Cancellations that a peer is told of because the state service does not tell it.
+    /// Tells a peer what the state service does not tell it.
     ///
     /// A controller that alone is refused goes on answering its machines while its authority
     /// lasts. That ends in time for every cancellation, but for all tasks at once; one that hears
-    /// of a cancellation stops the tasks of that job alone, and at once.
-    fn withdrawn_for(&mut self, host: HostIx, now: Ms) -> Vec<String> {
+    /// of a cancellation stops the tasks of that job alone, and at once. And one that hears that
+    /// its block was granted anew sends the machines to the new holder, without their waiting for
+    /// the end of the old authority.
+    fn tell_refused(&mut self, host: HostIx, news: &mut PeerNews, now: Ms) {
         // Own writes show in the replica before the next look at what a watch brought.
         let fresh = std::mem::take(&mut self.view.touched.withdrawn);
         self.note_withdrawn(fresh, now);
         if self.peers.get(&host).is_none_or(|p| p.state_ok) {
-            return Vec::new();
+            return;
         }
-        self.withdrawn.iter().map(|w| w.1.clone()).collect()
+        news.withdrawn = self.withdrawn.iter().map(|w| w.1.clone()).collect();
+        let hosts = &self.view.names.hosts;
+        let grants = self.view.grants.iter();
+        news.grants = grants
+            .map(|(id, g)| (id.0, g.stamp, hosts.name(g.host).to_owned()))
+            .collect();
+    }
+
+    /// Whether the state service answers some other controller that is heard, but not us.
+    pub(crate) fn left_out(&self, now: Ms) -> bool {
+        let served = |h: &&HostIx| {
+            let peer = self.peers.get(*h);
+            self.hears(**h, now) && peer.is_some_and(|p| p.state_ok)
+        };
+        !self.state_ok(now) && self.others.iter().any(|h| served(&h))
+    }
+
+    /// Whether the state service answers us and the other controllers, but not this one.
+    ///
+    /// It says so itself. While it leads, nothing is bound before its lease is over; what its
+    /// machines end is not recorded, and what is bound to them is not started.
+    pub(crate) fn refused_alone(&self, host: HostIx, now: Ms) -> bool {
+        self.state_ok(now)
+            && self.hears(host, now)
+            && self
+                .peers
+                .get(&host)
+                .and_then(|p| p.refused_since)
+                .is_some_and(|since| now.since(since) >= REFUSED_MS)
     }
 
     /// What this controller tells its peers; a long message tells of its machines.
@@ -269,6 +303,7 @@
                 .map(|(&j, f)| (names.jobs.name(j).to_owned(), f.count, since(f.last)))
                 .collect(),
             withdrawn: Vec::new(),
+            grants: Vec::new(),
         }
     }
 
@@ -313,6 +348,7 @@
         if host == self.me || !self.others.contains(&host) {
             return;
         }
+        let state_ok = self.state_ok(now);
         let names = &self.view.names;
         let hears = news
             .heard
@@ -330,6 +366,11 @@
         peer.heard = Some(now);
         peer.boot = Some(Boot(news.boot));
         peer.state_ok = news.state_ok;
+        if news.state_ok || !state_ok {
+            peer.refused_since = None;
+        } else {
+            peer.refused_since.get_or_insert(now);
+        }
         if news.short {
             peer.short_at = Some(now);
         }
@@ -357,6 +398,15 @@
                 self.told_over.insert(ix);
             }
         }
+        for (id, token, holder) in news.grants {
+            let held = self.view.grants.get(&BlockId(id));
+            let Some(holder) = self.view.names.hosts.get(&holder) else {
+                continue;
+            };
+            if held.is_some_and(|g| g.host == self.me && g.stamp < token) {
+                self.told_granted.insert(BlockId(id), (token, holder));
+            }
+        }
         for (class, ratio) in news.ratios {
             let class = self.view.names.classes.intern(&class);
             // Peers' experience counts until there is some of our own.
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -84,6 +84,13 @@
                 .then(|| self.view.names.hosts.name(grant.host).to_owned());
             return Reply::Elsewhere(name);
         }
+        let block = self.view.machines.get(&ix).map(|m| m.block);
+        if let Some(&(_, holder)) = block.and_then(|b| self.told_granted.get(&b))
+            && holder != self.me
+        {
+            self.counters.redirects += 1;
+            return Reply::Elsewhere(Some(self.view.names.hosts.name(holder).to_owned()));
+        }
         if !self.has_authority(now) || r.baton > grant.stamp {
             // Without authority, or with a later holder about, an answer would only hold the
             // worker here while its lease runs.
--- a/src/leader/grants.rs
+++ b/src/leader/grants.rs
@@ -21,6 +21,9 @@
         if host == self.me {
             return node.boot == self.boot;
         }
+        if self.refused_alone(host, now) {
+            return false;
+        }
         let reborn = self.reborn(host, node.boot, now);
         (self.hears(host, now) && !reborn)
             || (!self.listened(now) && !self.peers.contains_key(&host))
@@ -77,6 +80,8 @@
                         && self.corroborated(g.host, now)
                     {
                         "holder silent"
+                    } else if self.refused_alone(g.host, now) {
+                        "holder refused by the state service"
                     } else if reborn.contains(&g.host) && self.reborn(g.host, g.boot, now) {
                         "holder restarted"
                     } else if self.begun_anew(id, now) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -595,4 +595,7 @@
     /// Jobs cancelled lately, for a peer that the state service does not answer.
     #[serde(default)]
     pub withdrawn: Vec<String>,
+    /// Who holds which block under which token, for such a peer.
+    #[serde(default)]
+    pub grants: Vec<(u32, u64, String)>,
 }
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -382,6 +382,56 @@
     }
 }
 
+#[test]
+fn a_controller_that_alone_is_refused_is_replaced_within_seconds_and_nobody_notices() {
+    // Nothing was bound, and what was bound to its machines not started, before its lease ran out.
+    for (seed, nodes, leads) in [(42, 3, true), (43, 3, false), (44, 5, true), (45, 5, false)] {
+        let (mut w, job) = World::busy(seed, nodes, 60_000);
+        let leader = w.leader().expect("leads");
+        let old = if leads { leader } else { (leader + 1) % nodes };
+        refuse(&mut w, old);
+        w.until(7000, "others hold every machine and lead", |w| {
+            let held = |m: &support::Worker| w.holder_of_all_but(old, &m.rig.name);
+            w.leader_but(old).is_some() && w.workers.iter().all(held)
+        });
+        let mut urgent = w.spec(4);
+        (urgent.urgency, urgent.crew) = (Urgency::Urgent, "red".into());
+        let urgent = w.submit(2, urgent);
+        w.until(10_000, "urgent work starts", |w| w.running_of(&urgent) == 4);
+        assert!(w.returned.is_empty(), "{:?}", w.returned);
+        w.run(25_000);
+        all_once(&mut w, &[job, urgent], 16);
+    }
+}
+
+#[test]
+fn a_leader_that_stood_still_returns_no_machine_because_its_timers_went_on() {
+    // All seemed silent to it for as long as it had stood still itself.
+    for ms in [14_000, 21_000, 22_500] {
+        let mut w = World::settled(46, 3, 8);
+        w.run(3000);
+        let job = w.fill(150_000, 16);
+        let mut theirs = w.spec(16);
+        theirs.crew = "red".into();
+        w.submit(2, theirs);
+        w.until(15_000, "every machine is full", |w| w.running() == 32);
+        w.run(45_000);
+        let leader = w.leader().expect("leads");
+        // Nobody can take over meanwhile.
+        (0..3)
+            .filter(|&i| i != leader)
+            .for_each(|i| w.links[i].state = Mood::Refuses);
+        let others: Vec<usize> = (0..3).filter(|&i| i != leader).collect();
+        w.freeze(leader, ms);
+        w.run(ms - 200);
+        others.iter().for_each(|&i| w.links[i].state = Mood::Good);
+        w.run(30_000);
+        assert!(w.returned.is_empty(), "after {ms} ms: {:?}", w.returned);
+        assert_eq!(w.running(), 32, "{job} and the other go on or run again");
+        w.assert_kept();
+    }
+}
+
 // Reports and machines.
 
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -528,9 +528,28 @@
         })
     }
 
+    /// The controller that leads, one that does not know better aside.
+    pub fn leader_but(&self, old: usize) -> Option<usize> {
+        let leads = |i: &usize| {
+            let node = self.nodes[*i].as_ref();
+            *i != old && node.is_some_and(|n| n.core.leads().is_some())
+        };
+        (0..self.nodes.len()).find(leads)
+    }
+
+    /// Whether a controller other than `old` holds a machine.
+    pub fn holder_of_all_but(&self, old: usize, rig: &str) -> bool {
+        let others = (0..self.nodes.len()).filter(|&i| i != old);
+        self.holder_among(others, rig).is_some()
+    }
+
     /// The controller that holds a machine.
     pub fn holder(&self, rig: &str) -> Option<usize> {
-        (0..self.nodes.len()).find(|&i| {
+        self.holder_among(0..self.nodes.len(), rig)
+    }
+
+    fn holder_among(&self, mut nodes: impl Iterator<Item = usize>, rig: &str) -> Option<usize> {
+        nodes.find(|&i| {
             let Some(n) = &self.nodes[i] else {
                 return false;
             };
@@ -781,7 +800,10 @@
             Mood::Slow(ms) => Some(ms),
             _ => None,
         };
-        if let Some(late) = late.filter(|_| self.now >= node.next_watch && !link.watch_hangs) {
+        // After it stood still its timers fire before the first answers are in.
+        let waking = node.frozen_until > 0 && self.now < node.frozen_until + 400;
+        let due = self.now >= node.next_watch && !link.watch_hangs && !waking;
+        if let Some(late) = late.filter(|_| due) {
             if node.loaded {
                 let after = node.core.view.ledger;
                 let list = match late {
