--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -83,3 +83,12 @@
     f.note(&a(JobStatus::Done));
     assert_eq!(f.get("wk-1").map(|a| a.status), Some(JobStatus::Done));
 }
+
+/// A job as the replica has it, nothing done.
+pub(crate) fn job_of(spec: JobSpec) -> crate::view::Job {
+    let mut view = crate::view::View::default();
+    let txn = accept("wk-000412", &new_record(spec, 1_700_000_000_000));
+    view.apply_own(&txn, 1);
+    let ix = view.names.jobs.get("wk-000412").expect("known");
+    view.jobs.remove(&ix).expect("there")
+}
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -193,7 +193,7 @@
         if slots.is_empty() {
             return plan;
         }
-        let most_open = self.settings.open_tasks();
+        let value_bytes = self.settings.value_bytes();
         let mut jobs: Vec<Candidate> = Vec::new();
         let first = first.map(|f| f.2);
         if let Some(ix) = first {
@@ -211,7 +211,11 @@
             }
             // Open tasks below the highest bound one are what fragments the done ranges.
             let open = (taken.len() - job.done.len()) as usize + taken.fragments();
-            let mut most = most_open.saturating_sub(open).min(128);
+            let most_open = job.most_open(value_bytes);
+            let mut most = match most_open >= job.spec.legs as usize {
+                true => 128,
+                false => most_open.saturating_sub(open).min(128),
+            };
             if Some(ix) == first {
                 // A share that begins the job and does not hold up the others for long.
                 most = most.min((job.spec.legs as usize / 8).clamp(1, FLOOR_TASKS));
--- a/src/view.rs
+++ b/src/view.rs
@@ -210,9 +210,30 @@
     pub stored: RangeSet,
     /// Time of day of the submission.
     pub submitted_ms: u64,
+    /// Size of its value while nothing is done, bytes.
+    pub bytes: usize,
 }
 
 impl Job {
+    /// Most of its tasks that may be open below the highest bound one, so that what is done always
+    /// fits into a value of so many bytes, in whatever order they end.
+    ///
+    /// A gap between done tasks costs one more range in the text, at worst two numbers and two
+    /// signs. One bound for all jobs, by the longest numbers, held jobs of several hundred tasks
+    /// to 202 at a time in values of 4 KiB, and a giant one to 30 a second.
+    pub fn most_open(&self, value_bytes: usize) -> usize {
+        let room = value_bytes.saturating_sub(self.bytes);
+        let legs = self.spec.legs as usize;
+        let digits = self.spec.legs.max(1).ilog10() as usize + 1;
+        let range = 2 * digits + 2;
+        // Two done, one open, and so on to the end, is the longest text that a job can have.
+        match range * legs.div_ceil(3) <= room {
+            true => legs,
+            // One range more than there are gaps.
+            false => (room / range).saturating_sub(1).max(16),
+        }
+    }
+
     /// Room of one task.
     pub fn room(&self) -> crate::queue::Room {
         crate::queue::Room {
@@ -612,6 +633,11 @@
             stored: r.d,
             submitted_ms: r.t,
             spec: Arc::new(r.s),
+            bytes: 0,
+        };
+        let job = Job {
+            bytes: Json::of(&job.record(RangeSet::new(), JobStatus::Withdrawn)).size(),
+            ..job
         };
         self.left.retain(|&j| j != ix);
         self.jobs.insert(ix, job);
@@ -843,3 +869,6 @@
     }
     entries
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/view/tests.rs
@@ -0,0 +1,47 @@
+//! Unit tests of `view`.
+
+use super::*;
+use crate::jobs::tests::{GOOD, job_of};
+use crate::jobs::{Read, read};
+
+/// The value of a job of which every third task is open, up to so many open ones.
+fn longest(job: &Job, open: usize) -> usize {
+    let mut done = RangeSet::new();
+    let last = job.spec.legs as usize;
+    // The highest tasks have the longest numbers.
+    let first = last.saturating_sub(3 * open);
+    done.insert_range(0, first as u32);
+    for gap in (first..last).step_by(3) {
+        done.insert_range(gap as u32 + 1, (gap as u32 + 3).min(job.spec.legs));
+    }
+    Json::of(&job.record(done, JobStatus::Withdrawn)).size()
+}
+
+#[test]
+fn whatever_order_tasks_end_in_what_is_done_fits_into_the_jobs_value() {
+    let Read::Good(good) = read(GOOD.as_bytes()) else {
+        panic!("good")
+    };
+    for value_bytes in [1400, 4032, 32_704] {
+        for legs in [
+            1, 2, 64, 99, 100, 350, 700, 1000, 1350, 5000, 20_000, 100_000,
+        ] {
+            let mut spec = good.spec.clone();
+            spec.legs = legs;
+            let job = job_of(spec);
+            let open = job.most_open(value_bytes);
+            let size = longest(&job, open);
+            assert!(
+                size <= value_bytes,
+                "{legs} tasks, {open} open: {size} bytes"
+            );
+            assert!(open >= 16.min(legs as usize));
+        }
+    }
+    // What held large jobs back: 202 at a time in 4 KiB.
+    let mut spec = good.spec.clone();
+    spec.legs = 700;
+    assert_eq!(job_of(spec.clone()).most_open(4032), 700);
+    spec.legs = 20_000;
+    assert!(job_of(spec).most_open(4032) > 280);
+}
