--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -40,23 +40,13 @@
     let mut w = settled(1, 3, 4);
     w.run_ms = 6000;
     // Three CPUs' worth of urgent work for each CPU that the team may use, before and after.
-    let mut flood = 1000;
-    let mut urgent_for = |w: &mut World, seconds: u32| {
-        for _ in 0..seconds {
-            flood += 1;
-            let mut urgent = w.spec(8);
-            urgent.urgency = Urgency::Urgent;
-            w.submit(flood, urgent);
-            w.run(1000);
-        }
-    };
-    urgent_for(&mut w, 15);
+    w.flood(15);
     let mut large = w.spec(200);
     large.urgency = Urgency::BestEffort;
     large.vcpus = 2.0;
     let large = w.submit(1, large);
     let submitted = w.now;
-    urgent_for(&mut w, 240);
+    w.flood(240);
     let begun = w.starts.iter().find(|s| s.1.starts_with(&large));
     let begun = begun.map(|s| s.0 - submitted).expect("it begins");
     assert!(begun < 240_000, "after {begun} ms");
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -613,22 +613,12 @@
     hopeless.frames = Some(vec!["large".into()]);
     w.submit(1, hopeless);
     w.run_ms = 6000;
-    let mut flood = 1000;
-    let mut urgent_for = |w: &mut World, seconds: u32| {
-        for _ in 0..seconds {
-            flood += 1;
-            let mut urgent = w.spec(8);
-            urgent.urgency = Urgency::Urgent;
-            w.submit(flood, urgent);
-            w.run(1000);
-        }
-    };
-    urgent_for(&mut w, 10);
+    w.flood(10);
     let mut late = w.spec(20);
     late.urgency = Urgency::BestEffort;
     let late = w.submit(2, late);
     let submitted = w.now;
-    urgent_for(&mut w, 150);
+    w.flood(150);
     let begun = w.starts.iter().find(|s| s.1.starts_with(&late));
     let begun = begun.map(|s| s.0 - submitted).expect("it begins");
     assert!(begun < 150_000, "after {begun} ms");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -300,6 +300,7 @@
     pub starts: Vec<(u64, String, String)>,
     pub broken: Vec<String>,
     pub returned: BTreeSet<String>,
+    flood: u32,
     /// Jobs submitted with a mistake: each of their tasks fails, wherever it runs.
     pub faulty: BTreeSet<String>,
     /// Machines that are rented come up after so many ms, if not after the usual 5 s.
@@ -355,6 +356,7 @@
             starts: Vec::new(),
             broken: Vec::new(),
             returned: BTreeSet::new(),
+            flood: 1000,
             faulty: BTreeSet::new(),
             slow_boot: None,
             cancelled: BTreeMap::new(),
@@ -416,6 +418,17 @@
         self.starts.iter().filter(of_job).count()
     }
 
+    /// Plays on while more urgent work comes, eight tasks a second, than a team may run.
+    pub fn flood(&mut self, seconds: u32) {
+        for _ in 0..seconds {
+            self.flood += 1;
+            let mut urgent = self.spec(8);
+            urgent.urgency = Urgency::Urgent;
+            self.submit(self.flood, urgent);
+            self.run(1000);
+        }
+    }
+
     /// Plays on while a user asks any controller for a job every second.
     pub fn run_asking(&mut self, ms: u64, jobs: &[String]) {
         let end = self.now + ms;
