--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -25,6 +25,11 @@
             .keys()
             .filter_map(|&ix| Some((ix, self.machine_info(ix, now)?.age_ms?)))
             .collect();
+        for &(ix, age) in &ages {
+            if !self.lead.heard.contains_key(&ix) {
+                self.note_start(ix, Ms(now.0.saturating_sub(age)));
+            }
+        }
         let lead = &mut self.lead;
         for (ix, age) in ages {
             let at = Ms(now.0.saturating_sub(age));
@@ -77,6 +82,33 @@
         self.lead.cut_zones = cut.map(|z| z.0).collect();
     }
 
+    /// Notes how long a machine took to report for the first time, if this leader rented it: of
+    /// the others it is not known whether the report is their first.
+    fn note_start(&mut self, ix: MachineIx, reported_at: Ms) {
+        let Some(frame) = self.view.machines.get(&ix).map(|m| m.frame) else {
+            return;
+        };
+        let listed = self.lead.listed.get(&ix).map(|l| l.rented_at);
+        let Some(rented_at) = listed.or(self.lead.first_seen.get(&ix).copied()) else {
+            return;
+        };
+        if rented_at > self.lead.since {
+            let seconds = reported_at.since(rented_at) as f64 / 1000.0;
+            self.lead
+                .start_times
+                .entry(frame)
+                .or_default()
+                .note(seconds);
+        }
+    }
+
+    /// Seconds that a machine of a type may take to report before it is overdue.
+    fn start_overdue_s(&self, frame: FrameIx, boot_s: f64) -> f64 {
+        let unseen = StartTimes::default();
+        let seen = self.lead.start_times.get(&frame).unwrap_or(&unseen);
+        seen.overdue_s(boot_s)
+    }
+
     /// Whether a machine is silent together with most others of its zone.
     pub(crate) fn cut_off(&self, ix: MachineIx, now: Ms) -> bool {
         let zone = self.view.machines.get(&ix).map(|m| m.zone);
@@ -231,7 +263,7 @@
             }
             None => {
                 let held = listed.map_or(seen, |l| now.since(l.rented_at));
-                let patience = (frame.boot_s * 3.5 * 1000.0) as u64 + 20_000;
+                let patience = (self.start_overdue_s(m.frame, frame.boot_s) * 1000.0) as u64;
                 missing || (held > patience && seen > lost && held_for > lost)
             }
         }
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -8,6 +8,7 @@
 mod preemption;
 mod renting;
 mod rounds;
+mod startups;
 
 use crate::balance::{self, Factors, Levels, Pack, Role};
 use crate::clock::Ms;
@@ -24,6 +25,7 @@
 };
 use crate::wire::{Agent, Change, Frame, JobStatus, ListedRig, Rental, Txn, Urgency};
 use rand::Rng;
+use startups::StartTimes;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use tracing::{debug, info};
 
@@ -49,6 +51,8 @@
     listed: HashMap<MachineIx, Listed>,
     /// When a machine was last heard by any holder, as far as this leader knows.
     heard: HashMap<MachineIx, Ms>,
+    /// How long machines of each type took to report, of those rented in this term.
+    start_times: HashMap<FrameIx, StartTimes>,
     /// Zones most of whose machines are silent.
     cut_zones: HashSet<ZoneIx>,
     /// Since when a block's grant is known, by its token.
--- /dev/null
+++ b/src/leader/startups/tests.rs
@@ -0,0 +1,32 @@
+//! Unit tests of `startups`.
+
+use super::*;
+
+fn seen(seconds: &[f64]) -> StartTimes {
+    let mut times = StartTimes::default();
+    seconds.iter().for_each(|&s| times.note(s));
+    times
+}
+
+#[test]
+fn few_starts_say_nothing_and_the_boot_time_decides() {
+    assert_eq!(seen(&[]).overdue_s(20.0), 90.0);
+    assert_eq!(seen(&[1.0, 2.0, 2.0]).overdue_s(20.0), 90.0);
+}
+
+#[test]
+fn starts_that_were_seen_decide_how_long_one_may_take() {
+    // As the catalog says, or quicker: twice the boot time.
+    assert_eq!(seen(&[1.0, 2.0, 18.0, 20.0]).overdue_s(20.0), 40.0);
+    // Nearly all take longer than it says.
+    assert_eq!(seen(&[30.0, 31.0, 33.0, 35.0]).overdue_s(20.0), 70.0);
+    // One slow start among many makes no difference, several do, up to a bound.
+    let mut many = vec![20.0; 20];
+    many.push(80.0);
+    assert_eq!(seen(&many).overdue_s(20.0), 40.0);
+    many.extend([80.0; 10]);
+    assert_eq!(seen(&many).overdue_s(20.0), 90.0);
+    // What was long ago is forgotten.
+    many.extend([20.0; REMEMBERED]);
+    assert_eq!(seen(&many).overdue_s(20.0), 40.0);
+}
--- a/tests/nights.rs
+++ b/tests/nights.rs
@@ -178,3 +178,29 @@
         w.assert_kept();
     }
 }
+
+#[test]
+fn starts_that_were_seen_make_a_machine_that_never_comes_up_overdue_sooner() {
+    // The catalog's boot time alone would let it stand, charged, for 3.5 times that and 20 s more.
+    let mut w = World::settled(8, 3, 0);
+    w.run_ms = 60_000;
+    let mut spec = w.spec(16);
+    (spec.crew, spec.ride_s) = ("guest".into(), 60.0);
+    let first = w.submit(1, spec.clone());
+    w.until(60_000, "starts have been seen", |w| {
+        w.running_of(&first) == 16
+    });
+    w.slow_boot = Some(u64::MAX / 4);
+    spec.legs = 40;
+    let known: Vec<String> = w.workers.iter().map(|m| m.rig.name.clone()).collect();
+    let second = w.submit(2, spec);
+    w.until(30_000, "more are rented", |w| w.workers.len() > known.len());
+    let mut rented = w.workers.iter().map(|m| m.rig.name.clone());
+    let late = rented.find(|m| !known.contains(m)).expect("rented");
+    w.run(500);
+    w.slow_boot = None;
+    // A silent machine has at least a worker's lease and 8 s.
+    w.until(28_000, "it is given back", |w| w.returned.contains(&late));
+    w.until(200_000, "all is done", |w| w.is_done(&second));
+    w.assert_kept();
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -118,6 +118,12 @@
         self.history.iter().filter(of).count()
     }
 
+    /// Forgets the changes that every watch has delivered.
+    pub fn forget_history(&mut self) {
+        self.history = Vec::new();
+        self.marks = Vec::new();
+    }
+
     /// Removes a key behind everybody's back.
     pub fn forget(&mut self, k: &str) {
         self.ledger += 1;
