--- a/src/api.rs
+++ b/src/api.rs
@@ -3,11 +3,11 @@
 use crate::clock::{Clock, Ms};
 use crate::core::{Core, Outcome, Reply};
 use crate::fresh::Fresh;
-use crate::jobs::{self, Finals, Read};
-use crate::records::JobRecord;
+use crate::jobs::{self, Finals, chained};
+use crate::records::{JobRecord, WaitingRecord};
 use crate::state::{StateClient, StateError};
-use crate::view::past_key;
-use crate::wire::{JobAnswer, JobStatus, PeerNews, Report};
+use crate::view::View;
+use crate::wire::{JobAnswer, JobStatus, PeerNews, Report, Txn};
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse, web};
 use parking_lot::Mutex;
@@ -16,6 +16,8 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+mod submission;
+
 /// What every handler shares. Locks are short and never held across an await.
 pub struct Shared {
     /// The decisions.
@@ -68,8 +70,6 @@
 
 const READ_WAIT: Duration = Duration::from_millis(1200);
 const WRITE_WAIT: Duration = Duration::from_millis(2000);
-/// Pause before the one more try of a write that the state service refused for its budget.
-const TRY_AGAIN: Duration = Duration::from_millis(150);
 const BODY: usize = 64 * 1024;
 
 fn later(status: StatusCode, why: &str) -> HttpResponse {
@@ -95,11 +95,53 @@
 
 /// A job as the state service has it now.
 struct Found {
-    /// The value of its own key.
-    record: JobRecord,
+    /// Its state as users see it.
+    status: JobStatus,
     /// Tasks done, as all keys together show them.
     done: u32,
-    stamp: u64,
+    /// Its value, if it is not over and may be cancelled.
+    open: Option<Open>,
+}
+
+/// The value of a job that is not over, with the revision of its key.
+enum Open {
+    /// An ordinary job.
+    Ordinary(Box<JobRecord>, u64),
+    /// A job that waits for others.
+    Waiting(Arc<WaitingRecord>, u64),
+}
+
+impl Open {
+    /// The transaction that cancels the job; values may have so many bytes.
+    fn cancel(&self, name: &str, value_bytes: usize) -> Txn {
+        match self {
+            Open::Ordinary(record, stamp) => jobs::cancel(name, record, *stamp, value_bytes),
+            Open::Waiting(record, stamp) => chained::cancel_waiting(name, record, *stamp),
+        }
+    }
+}
+
+/// What a replica shows of a job.
+fn found_in(view: &View, name: &str) -> Option<Found> {
+    let ix = view.names.jobs.get(name)?;
+    if let Some(job) = view.jobs.get(&ix) {
+        let open = || {
+            let record = job.record(job.stored.clone(), job.status);
+            Open::Ordinary(Box::new(record), job.stamp)
+        };
+        return Some(Found {
+            status: job.status,
+            done: job.done.len(),
+            open: (job.status == JobStatus::Pending).then(open),
+        });
+    }
+    let waiting = view.waiting.jobs.get(&ix)?;
+    let open = || Open::Waiting(waiting.record.clone(), waiting.stamp);
+    Some(Found {
+        status: waiting.status(),
+        done: 0,
+        open: (!waiting.withdrawn).then(open),
+    })
 }
 
 impl Door {
@@ -114,27 +156,16 @@
     async fn look_up(&self, name: &str) -> Result<Option<Found>, StateError> {
         let fresh = &self.shared.fresh;
         fresh.catch_up(&self.state, self.pause, READ_WAIT).await?;
-        let known = {
-            let core = self.shared.core.lock();
-            let ix = core.view.names.jobs.get(name);
-            ix.and_then(|ix| core.view.jobs.get(&ix)).map(|job| Found {
-                record: job.record(job.stored.clone(), job.status),
-                done: job.done.len(),
-                stamp: job.stamp,
-            })
-        };
+        let known = found_in(&self.shared.core.lock().view, name);
         if known.is_some() {
             return Ok(known);
         }
         // It left the watched part, or was never accepted.
-        let Some(item) = self.state.read(&past_key(name), READ_WAIT).await? else {
-            return Ok(None);
-        };
-        let record: JobRecord = item.v.read().map_err(|e| StateError::Odd(e.to_string()))?;
-        Ok(Some(Found {
+        let archived = self.state.archived(name, READ_WAIT).await?;
+        Ok(archived.map(|record| Found {
+            status: record.st,
             done: record.d.len(),
-            record,
-            stamp: item.stamp,
+            open: None,
         }))
     }
 
@@ -162,89 +193,12 @@
             return unavailable("the state service is out of reach");
         }
         match self.look_up(name).await {
-            Ok(Some(f)) => HttpResponse::Ok().json(self.answer(name, f.record.st, f.done)),
+            Ok(Some(f)) => HttpResponse::Ok().json(self.answer(name, f.status, f.done)),
             Ok(None) => refusal,
             Err(e) => state_trouble(&e),
         }
     }
 
-    async fn submit(&self, body: &[u8]) -> HttpResponse {
-        let submission = match jobs::read(body) {
-            Read::Good(s) => s,
-            Read::Bad(None, why) => return refuse(StatusCode::BAD_REQUEST, &why),
-            Read::Bad(Some(name), why) => {
-                let refusal = refuse(StatusCode::BAD_REQUEST, &why);
-                return self.known_or(&name, refusal).await;
-            }
-        };
-        let name = submission.name;
-        if let Some(a) = self.remembered(&name) {
-            return HttpResponse::Ok().json(a);
-        }
-        let record = jobs::new_record(submission.spec, self.shared.clock.day_ms());
-        let never = {
-            let core = self.shared.core.lock();
-            if !core.catalog_known() {
-                return unavailable("machine types are not known yet");
-            }
-            match core.never_runs(&record.s) {
-                None if !core.fits_state(&record) => {
-                    Some("the job's description is too long".into())
-                }
-                other => other,
-            }
-        };
-        if let Some(why) = never {
-            tracing::debug!(job = name, class = record.s.route, why, "refused");
-            let refusal = refuse(StatusCode::UNPROCESSABLE_ENTITY, &why);
-            return self.known_or(&name, refusal).await;
-        }
-        // More than can be kept in memory is refused at once; what was accepted stays accepted.
-        let full = {
-            let core = self.shared.core.lock();
-            core.view.unfinished() >= core.settings.options.jobs_most as usize
-        };
-        if full {
-            let refusal = later(StatusCode::TOO_MANY_REQUESTS, "too many unfinished jobs");
-            return self.known_or(&name, refusal).await;
-        }
-        if !self.state_up() {
-            return unavailable("the state service is out of reach");
-        }
-        let txn = jobs::accept(&name, &record);
-        let mut outcome = self.state.commit(&txn, WRITE_WAIT).await;
-        if outcome == Outcome::Refused {
-            // The budget comes back within moments: one more try, while gathered writes give way.
-            let now = self.shared.now();
-            self.shared.core.lock().on_user_refused(now);
-            actix_web::rt::time::sleep(TRY_AGAIN).await;
-            outcome = self.state.commit(&txn, WRITE_WAIT).await;
-        }
-        match outcome {
-            Outcome::Done(ledger) => {
-                self.shared.core.lock().view.apply_own(&txn, ledger);
-                tracing::debug!(
-                    job = name,
-                    class = record.s.route,
-                    team = record.s.crew,
-                    tasks = record.s.legs,
-                    run_s = record.s.ride_s,
-                    due_s = record.s.due_s,
-                    "accepted"
-                );
-                HttpResponse::Created().json(JobAnswer {
-                    name,
-                    status: JobStatus::Pending,
-                    done: None,
-                    running: None,
-                })
-            }
-            Outcome::Conflict(_) => self.known_or(&name, unavailable("try again")).await,
-            Outcome::Refused => later(StatusCode::TOO_MANY_REQUESTS, "too many requests"),
-            Outcome::Unknown | Outcome::NoLease => unavailable("the state service did not answer"),
-        }
-    }
-
     async fn poll(&self, name: &str) -> HttpResponse {
         if let Some(a) = self.remembered(name) {
             return HttpResponse::Ok().json(a);
@@ -256,7 +210,7 @@
             return unavailable("the state service is out of reach");
         }
         match self.look_up(name).await {
-            Ok(Some(f)) => HttpResponse::Ok().json(self.answer(name, f.record.st, f.done)),
+            Ok(Some(f)) => HttpResponse::Ok().json(self.answer(name, f.status, f.done)),
             Ok(None) => refuse(StatusCode::NOT_FOUND, "no such job"),
             Err(e) => state_trouble(&e),
         }
@@ -274,17 +228,18 @@
         if !self.state_up() {
             return unavailable("the state service is out of reach");
         }
+        let value_bytes = self.shared.core.lock().settings.value_bytes();
         for _ in 0..6 {
             let found = match self.look_up(name).await {
                 Ok(Some(f)) => f,
                 Ok(None) => return refuse(StatusCode::NOT_FOUND, "no such job"),
                 Err(e) => return state_trouble(&e),
             };
-            if found.record.st != JobStatus::Pending {
-                let a = self.answer(name, found.record.st, found.done);
+            let Some(open) = found.open else {
+                let a = self.answer(name, found.status, found.done);
                 return over(a.status);
-            }
-            let txn = jobs::cancel(name, &found.record, found.stamp);
+            };
+            let txn = open.cancel(name, value_bytes);
             match self.state.commit(&txn, WRITE_WAIT).await {
                 Outcome::Done(ledger) => {
                     tracing::info!(job = name, ledger, "cancelled");
@@ -297,7 +252,7 @@
                 Outcome::Refused => {
                     return later(StatusCode::TOO_MANY_REQUESTS, "too many requests");
                 }
-                Outcome::Unknown | Outcome::NoLease => {
+                Outcome::Unknown | Outcome::NoLease | Outcome::Malformed => {
                     return unavailable("the state service did not answer");
                 }
             }
--- /dev/null
+++ b/src/api/submission.rs
@@ -0,0 +1,227 @@
+//! Submissions: ordinary jobs, and jobs that name others which have to be done first.
+
+use super::{Door, READ_WAIT, WRITE_WAIT, later, refuse, state_trouble, unavailable};
+use crate::core::Outcome;
+use crate::jobs::chained::{Acceptance, Predecessor, plan_acceptance};
+use crate::jobs::{self, Read};
+use crate::records::JobRecord;
+use crate::state::StateError;
+use crate::wire::{JobAnswer, JobStatus, Submission, Txn};
+use actix_web::HttpResponse;
+use actix_web::http::StatusCode;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Pause before the one more try of a write that the state service refused for its budget.
+const TRY_AGAIN: Duration = Duration::from_millis(150);
+/// Tries of an acceptance whose conditions failed, because a job that it names changed meanwhile.
+const CHAIN_TRIES: usize = 5;
+/// Longest time for finding out what a submission names; users wait 5 s (PROTOCOL, submissions).
+const CHAIN_WAIT: Duration = Duration::from_millis(3000);
+
+/// A job that is about to be accepted.
+struct NewJob {
+    name: String,
+    record: JobRecord,
+    awaits: Vec<String>,
+}
+
+impl Door {
+    /// Takes a submission.
+    pub(super) async fn submit(&self, body: &[u8]) -> HttpResponse {
+        let submission = match jobs::read(body) {
+            Read::Good(s) => *s,
+            Read::Bad(None, why) => return refuse(StatusCode::BAD_REQUEST, &why),
+            Read::Bad(Some(name), why) => {
+                let refusal = refuse(StatusCode::BAD_REQUEST, &why);
+                return self.known_or(&name, refusal).await;
+            }
+        };
+        if let Some(a) = self.remembered(&submission.name) {
+            return HttpResponse::Ok().json(a);
+        }
+        let job = self.new_job(submission);
+        if !self.shared.core.lock().catalog_known() {
+            return unavailable("machine types are not known yet");
+        }
+        if let Some(why) = self.never_runs(&job) {
+            tracing::debug!(job = job.name, class = job.record.s.route, why, "refused");
+            let refusal = refuse(StatusCode::UNPROCESSABLE_ENTITY, &why);
+            return self.known_or(&job.name, refusal).await;
+        }
+        if self.is_full() {
+            let refusal = later(StatusCode::TOO_MANY_REQUESTS, "too many unfinished jobs");
+            return self.known_or(&job.name, refusal).await;
+        }
+        if !self.state_up() {
+            return unavailable("the state service is out of reach");
+        }
+        if !job.awaits.is_empty() {
+            return self.submit_chained(job).await;
+        }
+        let txn = jobs::accept(&job.name, &job.record);
+        match self.commit_new(&txn).await {
+            Outcome::Done(ledger) => self.accepted(job, &txn, JobStatus::Pending, ledger),
+            Outcome::Conflict(_) => self.known_or(&job.name, unavailable("try again")).await,
+            failed => not_accepted(failed),
+        }
+    }
+
+    fn new_job(&self, submission: Submission) -> NewJob {
+        NewJob {
+            name: submission.name,
+            record: jobs::new_record(submission.spec, self.shared.clock.day_ms()),
+            awaits: submission.awaits,
+        }
+    }
+
+    /// Why a job can never run, if so.
+    fn never_runs(&self, job: &NewJob) -> Option<String> {
+        let core = self.shared.core.lock();
+        let never = core.never_runs(&job.record.s);
+        let too_long = || "the job's description is too long".to_owned();
+        never.or_else(|| (!core.fits_state_when_ready(&job.record)).then(too_long))
+    }
+
+    /// Whether there are more unfinished jobs than can be kept in memory. What was accepted stays
+    /// accepted.
+    fn is_full(&self) -> bool {
+        let core = self.shared.core.lock();
+        core.view.unfinished() >= core.settings.options.jobs_most as usize
+    }
+
+    /// Accepts a job that names others. What is known of them is at least as new as the request,
+    /// and whatever changes in between fails the conditions of the transaction.
+    async fn submit_chained(&self, job: NewJob) -> HttpResponse {
+        let until = Instant::now() + CHAIN_WAIT;
+        for _ in 0..CHAIN_TRIES {
+            let named = match self.predecessors(&job.awaits, until).await {
+                Ok(named) => named,
+                Err(e) => return state_trouble(&e),
+            };
+            let (planned, open) = {
+                let core = self.shared.core.lock();
+                let record = job.record.clone();
+                let planned = plan_acceptance(&job.name, record, named, &core.settings);
+                (planned, core.accepts_waiting(self.shared.now()))
+            };
+            let acceptance = match planned {
+                Ok(acceptance) => acceptance,
+                Err(why) => {
+                    let refusal = refuse(StatusCode::UNPROCESSABLE_ENTITY, &why.to_string());
+                    return self.known_or(&job.name, refusal).await;
+                }
+            };
+            if matches!(acceptance, Acceptance::Waiting(_)) && !open {
+                let refusal = unavailable("a controller still runs an older version");
+                return self.known_or(&job.name, refusal).await;
+            }
+            let status = acceptance.status();
+            match self.commit_new(acceptance.txn()).await {
+                Outcome::Done(ledger) => {
+                    return self.accepted(job, acceptance.txn(), status, ledger);
+                }
+                // Either the job is known, or one that it names has changed.
+                Outcome::Conflict(_) => match self.look_up(&job.name).await {
+                    Ok(Some(f)) => {
+                        let answer = self.answer(&job.name, f.status, f.done);
+                        return HttpResponse::Ok().json(answer);
+                    }
+                    Ok(None) => {}
+                    Err(e) => return state_trouble(&e),
+                },
+                failed => return not_accepted(failed),
+            }
+        }
+        unavailable("the jobs that it names keep changing")
+    }
+
+    /// What is known now of the jobs that a submission names.
+    async fn predecessors(
+        &self,
+        names: &[String],
+        until: Instant,
+    ) -> Result<Vec<(String, Predecessor)>, StateError> {
+        let fresh = &self.shared.fresh;
+        fresh.catch_up(&self.state, self.pause, READ_WAIT).await?;
+        let mut named: Vec<(String, Predecessor)> = {
+            let core = self.shared.core.lock();
+            let shown = names.iter().map(|n| (n.clone(), core.view.predecessor(n)));
+            shown.collect()
+        };
+        // A key moves from the watched part to the archive in one step, and stays there: what the
+        // replica does not show is in the archive or was never accepted.
+        let unwatched = named.iter_mut().filter(|n| n.1 == Predecessor::Unwatched);
+        for (name, state) in unwatched {
+            *state = match self.final_state(name, until).await? {
+                Some(JobStatus::Done) => Predecessor::Done,
+                Some(_) => Predecessor::Withdrawn,
+                None => Predecessor::Unwatched,
+            };
+        }
+        Ok(named)
+    }
+
+    /// The final state of a job under no watched key; none if it was never accepted.
+    async fn final_state(
+        &self,
+        name: &str,
+        until: Instant,
+    ) -> Result<Option<JobStatus>, StateError> {
+        if let Some(a) = self.remembered(name) {
+            return Ok(Some(a.status));
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(StateError::Busy);
+        }
+        let archived = self.state.archived(name, left.min(READ_WAIT)).await?;
+        Ok(archived.map(|record| record.st))
+    }
+
+    /// Sends the transaction that accepts a job. The budget of changes comes back within moments:
+    /// one more try, while gathered writes give way.
+    async fn commit_new(&self, txn: &Txn) -> Outcome {
+        let outcome = self.state.commit(txn, WRITE_WAIT).await;
+        if outcome != Outcome::Refused {
+            return outcome;
+        }
+        let now = self.shared.now();
+        self.shared.core.lock().on_user_refused(now);
+        actix_web::rt::time::sleep(TRY_AGAIN).await;
+        self.state.commit(txn, WRITE_WAIT).await
+    }
+
+    /// The answer to a submission that was accepted.
+    fn accepted(&self, job: NewJob, txn: &Txn, status: JobStatus, ledger: u64) -> HttpResponse {
+        self.shared.core.lock().view.apply_own(txn, ledger);
+        let spec = &job.record.s;
+        tracing::debug!(
+            job = job.name,
+            class = spec.route,
+            team = spec.crew,
+            tasks = spec.legs,
+            run_s = spec.ride_s,
+            due_s = spec.due_s,
+            awaits = job.awaits.len(),
+            ?status,
+            "accepted"
+        );
+        let answer = JobAnswer {
+            name: job.name,
+            status,
+            done: None,
+            running: None,
+        };
+        self.shared.finals.lock().note(&answer);
+        HttpResponse::Created().json(answer)
+    }
+}
+
+/// The answer to a submission that the state service did not take.
+fn not_accepted(outcome: Outcome) -> HttpResponse {
+    match outcome {
+        Outcome::Refused => later(StatusCode::TOO_MANY_REQUESTS, "too many requests"),
+        _ => unavailable("the state service did not answer"),
+    }
+}
--- a/src/core/commits.rs
+++ b/src/core/commits.rs
@@ -11,6 +11,9 @@
 /// For so long gathered writes go slowly after a user had to be refused, ms.
 const SHORT_MS: u64 = 1500;
 
+/// Pause after a write that the service called malformed, ms.
+const MALFORMED_MS: u64 = 3000;
+
 /// What a transaction does besides its changes of keys, for the time until it is settled.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Payload {
@@ -164,13 +167,21 @@
                 self.op_after.insert(op, now.plus(jitter / 4));
                 self.after_view(now);
             }
-            Outcome::NoLease | Outcome::Refused => {
+            Outcome::NoLease | Outcome::Refused | Outcome::Malformed => {
                 self.counters.refused += 1;
-                self.refused_at = Some(now);
+                if outcome != Outcome::Malformed {
+                    self.refused_at = Some(now);
+                }
                 for e in flight.payload.moves.iter().flat_map(|m| &m.entries) {
                     self.reserved.remove(e);
                 }
-                self.op_after.insert(op, now.plus(200 + jitter));
+                // What the service calls malformed is never sent again as it is, and what takes
+                // its place may be no better.
+                let pause = match outcome {
+                    Outcome::Malformed => MALFORMED_MS,
+                    _ => 200,
+                };
+                self.op_after.insert(op, now.plus(pause + jitter));
             }
             Outcome::Unknown => {}
         }
--- a/src/core/endings.rs
+++ b/src/core/endings.rs
@@ -77,20 +77,21 @@
         let machines = machines.chain(self.moves.iter().map(|m| m.victim));
         let blocks: std::collections::BTreeSet<BlockId> = machines
             .filter_map(|m| Some(self.view.machines.get(&m)?.block))
+            .chain(self.oversized_blocks())
             .collect();
         for id in blocks {
             let op = Op::Ends(id);
             if !self.idle(op, now) || self.block_busy(id) {
                 continue;
             }
-            if let Some((txn, payload)) = self.plan_ends(id, usize::MAX) {
+            if let Some((txn, payload)) = self.plan_ends(id) {
                 self.submit(op, txn, payload, out);
             }
         }
     }
 
-    /// Plans the write of a block's endings and moves, of so many endings at most.
-    fn plan_ends(&mut self, id: BlockId, most_ends: usize) -> Option<(Txn, Payload)> {
+    /// Plans the write of a block's endings and moves.
+    fn plan_ends(&mut self, id: BlockId) -> Option<(Txn, Payload)> {
         let mut payload = Payload {
             blocks: vec![id],
             ..Payload::default()
@@ -98,9 +99,6 @@
         let mut draft = self.view.draft(id);
         for (&ix, m) in &mut draft.machines {
             for (entry, end) in self.ends.get(&ix).into_iter().flatten() {
-                if payload.ends.len() >= most_ends {
-                    break;
-                }
                 let Some(at) = m.queue.iter().position(|e| e == entry) else {
                     continue;
                 };
@@ -115,7 +113,9 @@
         }
         let mut drafts = BTreeMap::from([(id, draft)]);
         self.plan_moves(id, &mut drafts, &mut payload);
-        if payload.ends.is_empty() && payload.moves.is_empty() {
+        let most = self.settings.value_bytes();
+        let before = self.view.blocks.get(&id).map_or(0, |b| b.bytes);
+        if payload.ends.is_empty() && payload.moves.is_empty() && before <= most {
             return None;
         }
         let mut records: Vec<(BlockId, BlockRecord, Json)> = Vec::new();
@@ -124,7 +124,6 @@
             let value = Json::of(&record);
             records.push((id, record, value));
         }
-        let most = self.settings.value_bytes();
         let total: usize = records.iter().map(|r| r.2.size()).sum();
         let fills = |r: &(BlockId, BlockRecord, Json)| r.2.size() > most * 9 / 10;
         if records.len() > 1 && (total > TXN_BYTES || records.iter().any(fills)) {
@@ -133,21 +132,21 @@
             for e in payload.moves.iter().flat_map(|m| &m.entries) {
                 self.reserved.remove(e);
             }
-            return self.plan_ends(id, most_ends);
+            return self.plan_ends(id);
         }
         let mut flushed = Vec::new();
+        let ops = self.settings.platform.settings.state.txn_ops;
+        let spare_changes = ops.saturating_sub(records.len());
         if let Some((_, record, value)) = records.iter_mut().find(|r| r.0 == id) {
-            flushed = self.flush(record, value.size(), TXN_BYTES.saturating_sub(total));
+            let room = TXN_BYTES.saturating_sub(total);
+            flushed = self.flush(record, value.size(), room, spare_changes);
             if !flushed.is_empty() {
                 *value = Json::of(record);
             }
-            // A value that the service would refuse for ever is not sent: fewer endings tear fewer
-            // ranges apart. Bindings leave enough room that this comes to an end.
-            let size = value.size();
-            if size > most {
-                let fewer = payload.ends.len() / 2;
-                warn!(block = id.0, size, fewer, "a block's value is too large");
-                return (fewer > 0).then(|| self.plan_ends(id, fewer)).flatten();
+            // A value that the service would refuse for ever is not sent: the block is divided.
+            if value.size() > most {
+                let draft = drafts.remove(&id)?;
+                return self.plan_split(id, draft, payload);
             }
         }
         let mut txn = Txn::default();
@@ -217,12 +216,13 @@
     }
 
     /// Chooses jobs whose own keys take over the done tasks of a block that has grown large.
-    /// The transaction has so much `room` for them.
+    /// The transaction has so much `room` for them, and takes so many more changes.
     fn flush(
         &self,
         record: &mut BlockRecord,
         bytes: usize,
         mut room: usize,
+        spare_changes: usize,
     ) -> Vec<(JobIx, Change)> {
         let most = self.settings.value_bytes() as f64;
         let listed: usize = record.d.iter().map(|d| d.1.text_len() + 8).sum();
@@ -233,6 +233,7 @@
         }
         let ops = self.settings.platform.settings.state.txn_ops;
         let number = if very_full { ops / 2 } else { FLUSHED };
+        let number = number.min(spare_changes);
         record.d.sort_by_key(|d| std::cmp::Reverse(d.1.text_len()));
         let mut flushed = Vec::new();
         let mut kept = Vec::new();
@@ -253,7 +254,8 @@
         flushed
     }
 
-    /// A write of a job's own key that shows every task known to be done, and `more`.
+    /// A write of a job's own key that shows every task known to be done, and `more`; none if its
+    /// value would be too large: then the blocks go on listing what is done.
     pub(crate) fn job_change(&self, ix: JobIx, more: &RangeSet) -> Option<Change> {
         let job = self.view.jobs.get(&ix)?;
         let mut done = job.done.clone();
@@ -262,8 +264,10 @@
             JobStatus::Pending if done.len() >= job.spec.legs => JobStatus::Done,
             status => status,
         };
-        let record = job.record(done, status);
-        Some(put(&job_key(self.view.names.jobs.name(ix)), &record, None))
+        let mut record = job.record(done, status);
+        record.shorten(self.settings.value_bytes());
+        let change = put(&job_key(self.view.names.jobs.name(ix)), &record, None);
+        (change.value_bytes() <= self.settings.value_bytes()).then_some(change)
     }
 
     /// Whether a machine that obeys our token surely has not been told to start a task.
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -136,6 +136,7 @@
         let record = NodeRecord {
             b: self.boot.0,
             l: permit,
+            format: self.format,
         };
         let txn = Txn {
             guards: vec![self.guard(&key)],
@@ -211,6 +212,7 @@
         {
             self.on_catalog(crate::wire::Catalog { frames });
         }
+        self.note_formats(now);
         let touched = std::mem::take(&mut self.view.touched);
         self.note_withdrawn(touched.withdrawn, now);
         let grants = &self.view.grants;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,15 +5,17 @@
 
 pub(crate) mod commits;
 pub(crate) mod endings;
+mod formats;
 mod lease;
 mod peers;
 mod reports;
+mod splitting;
 
 use crate::clock::Ms;
 use crate::leader::LeadRt;
 use crate::names::{ClassIx, FrameIx, HostIx, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::queue::{Needs, Room};
-use crate::records::{LoadRecord, NodeRecord, OwnerRecord};
+use crate::records::{CURRENT_FORMAT, LoadRecord, NodeRecord, OwnerRecord};
 use crate::settings::Settings;
 use crate::view::{
     BlockId, Boot, Entry, Job, Machine, Owner, TaskIx, Token, View, block_key, grant_key, job_key,
@@ -59,6 +61,8 @@
     Catalog,
     /// Read the list of machines.
     List,
+    /// Read the final states of jobs from the archive.
+    Archived(Vec<String>),
     /// Rent machines.
     Rent(crate::wire::Rental),
     /// Return machines.
@@ -93,6 +97,8 @@
     NoLease,
     /// Not carried out.
     Refused,
+    /// Not carried out: too large, or not as the service wants it.
+    Malformed,
     /// No answer: carried out, or not, or later.
     Unknown,
 }
@@ -359,6 +365,12 @@
     /// acted in its place.
     woke: Option<Ms>,
     next_metrics: Ms,
+    /// Format of stored values that this controller writes.
+    pub(crate) format: u32,
+    /// When each controller was last known to run an older version.
+    older: HashMap<HostIx, Ms>,
+    /// When the archive may be asked again for jobs that others need.
+    next_archived: Ms,
 }
 
 /// A gap between two looks at what is due that shows that the controller cannot keep up, ms.
@@ -434,9 +446,17 @@
             stalled: None,
             woke: None,
             next_metrics: Ms(0),
+            format: CURRENT_FORMAT,
+            older: HashMap::new(),
+            next_archived: Ms(0),
         }
     }
 
+    /// Makes this controller behave as one of the version before did, for stories of upgrades.
+    pub fn run_as_format(&mut self, format: u32) {
+        self.format = format;
+    }
+
     /// Writes the counters to the log.
     fn log_metrics(&self) {
         let c = &self.counters;
@@ -511,6 +531,7 @@
                 self.tick_balance(now, &mut out);
             }
         }
+        self.ask_archive(now, &mut out);
         if now >= self.next_peers || !self.outbox.is_empty() || self.hasty_due(now) {
             self.tick_peers(now, &mut out);
         }
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -304,6 +304,7 @@
                 .collect(),
             withdrawn: Vec::new(),
             grants: Vec::new(),
+            format: self.format,
         }
     }
 
@@ -348,6 +349,7 @@
         if host == self.me || !self.others.contains(&host) {
             return;
         }
+        self.note_format(host, news.format, now);
         let state_ok = self.state_ok(now);
         let names = &self.view.names;
         let hears = news
--- /dev/null
+++ b/src/core/splitting.rs
@@ -0,0 +1,121 @@
+//! Blocks whose values are larger than the state service takes, or will take.
+
+use super::commits::Payload;
+use super::*;
+use crate::view::Draft;
+
+/// Part of the largest value that a part of a divided block should fill at most: its holder and the
+/// leader need the rest.
+const ROOMY: f64 = 0.6;
+
+/// Two halves of a block's machines and of its list of done tasks.
+fn halves(draft: Draft) -> (Draft, Draft) {
+    let mut first = Draft::default();
+    let mut second = Draft::default();
+    let (machines, done) = (draft.machines.len(), draft.done.len());
+    for (at, (ix, machine)) in draft.machines.into_iter().enumerate() {
+        let half = if at * 2 < machines {
+            &mut first
+        } else {
+            &mut second
+        };
+        half.machines.insert(ix, machine);
+    }
+    for (at, tasks) in draft.done.into_iter().enumerate() {
+        let half = if at * 2 < done {
+            &mut first
+        } else {
+            &mut second
+        };
+        half.done.push(tasks);
+    }
+    (first, second)
+}
+
+impl Core {
+    /// Blocks held here whose values are too large to be written as they are. A version that does
+    /// not know of lower limits to come may have written them.
+    pub(crate) fn oversized_blocks(&self) -> Vec<BlockId> {
+        let most = self.settings.value_bytes();
+        let blocks = self.view.blocks.iter().filter(|(_, b)| b.bytes > most);
+        let mine = |id: &BlockId| {
+            let grant = self.view.grants.get(id);
+            grant.is_some_and(|g| g.host == self.me && g.boot == self.boot)
+        };
+        blocks.map(|(&id, _)| id).filter(mine).collect()
+    }
+
+    /// Plans to write a block as several, each with a part of its machines; the new ones are the
+    /// leader's to grant. None if even that would not fit: then tasks must end first, which makes
+    /// the block smaller.
+    ///
+    /// Guards against endings, cancellations and steals that wait for ever behind a value which can
+    /// only be written whole. The conditions are those of every write of a holder, on the grant and
+    /// on the block, so the machines move between keys in one step and nobody else has them
+    /// meanwhile.
+    pub(crate) fn plan_split(
+        &self,
+        id: BlockId,
+        draft: Draft,
+        mut payload: Payload,
+    ) -> Option<(Txn, Payload)> {
+        let most = self.settings.value_bytes();
+        let roomy = (most as f64 * ROOMY) as usize;
+        let parts = self.divide(&draft, roomy);
+        let Some(parts) = parts.or_else(|| self.divide(&draft, most)) else {
+            warn!(block = id.0, "a block is too large to be divided yet");
+            return None;
+        };
+        let mut txn = Txn::default();
+        txn.guards.push(self.guard(&grant_key(id)));
+        let ids = std::iter::once(id).chain(self.unused_blocks());
+        payload.blocks.clear();
+        for (part, v) in ids.zip(parts) {
+            let put = block_key(part);
+            txn.guards.push(self.guard(&put));
+            txn.then.push(Change::Put {
+                put,
+                v,
+                permit: None,
+            });
+            payload.blocks.push(part);
+        }
+        info!(
+            block = id.0,
+            parts = payload.blocks.len(),
+            "dividing a block"
+        );
+        Some((txn, payload))
+    }
+
+    /// Values of the parts of a block, each of so many bytes at most; none if one transaction has
+    /// no room for them.
+    fn divide(&self, draft: &Draft, most_bytes: usize) -> Option<Vec<Json>> {
+        let most_parts = self.settings.platform.settings.state.txn_ops;
+        let mut values = Vec::new();
+        let mut rest = vec![draft.clone()];
+        while let Some(draft) = rest.pop() {
+            if values.len() + rest.len() >= most_parts {
+                return None;
+            }
+            let value = Json::of(&self.view.seal(&draft));
+            if value.size() <= most_bytes {
+                values.push(value);
+                continue;
+            }
+            if draft.machines.len() < 2 && draft.done.len() < 2 {
+                return None;
+            }
+            let (first, second) = halves(draft);
+            rest.extend([second, first]);
+        }
+        Some(values)
+    }
+
+    /// Numbers of blocks that do not exist and are not being made.
+    fn unused_blocks(&self) -> impl Iterator<Item = BlockId> + '_ {
+        let made: HashSet<BlockId> = self.ops_blocks().collect();
+        let all = (0..).map(BlockId);
+        all.filter(move |id| !self.view.blocks.contains_key(id) && !made.contains(id))
+    }
+}
--- /dev/null
+++ b/src/dependencies.rs
@@ -0,0 +1,162 @@
+//! Which jobs need which others, and how pressing that makes them. Pure.
+//!
+//! The graph holds the jobs that wait and the jobs that they wait for. Users submit a chain from its
+//! beginning to its end, so what a new job asks of its predecessors is passed on upwards only as far
+//! as it changes something.
+
+use crate::names::JobIx;
+use crate::wire::Urgency;
+use std::collections::{HashMap, HashSet};
+
+/// What a job asks for on its own account.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OwnDemand {
+    /// Its priority.
+    pub urgency: Urgency,
+    /// Time of day at which it should be done, ms.
+    pub due_ms: Option<i64>,
+    /// Estimated time that it takes once it is ready, ms.
+    pub duration_ms: i64,
+}
+
+/// How pressing a job is for the sake of the jobs that need it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Importance {
+    /// The highest priority of any of them.
+    pub urgency: Urgency,
+    /// Time of day, ms, at which the earliest of them must start to be done in time, or to let those
+    /// after it be.
+    pub start_by_ms: Option<i64>,
+}
+
+impl Importance {
+    /// The more pressing of both in each respect.
+    fn combine(self, other: Importance) -> Importance {
+        let start_by_ms = match (self.start_by_ms, other.start_by_ms) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+        Importance {
+            urgency: self.urgency.min(other.urgency),
+            start_by_ms,
+        }
+    }
+}
+
+/// A job that waits.
+#[derive(Debug, Clone)]
+struct Waiting {
+    own: OwnDemand,
+    predecessors: Vec<JobIx>,
+}
+
+/// The dependency graph of all jobs that wait.
+#[derive(Debug, Clone, Default)]
+pub struct DependencyGraph {
+    waiting: HashMap<JobIx, Waiting>,
+    /// Jobs that wait for a job, by that job.
+    dependents: HashMap<JobIx, Vec<JobIx>>,
+    /// Of each job that others wait for, what they make of it.
+    inherited: HashMap<JobIx, Importance>,
+}
+
+impl DependencyGraph {
+    /// Adds a job that waits for others; one that is there already stays as it is.
+    pub fn insert(&mut self, job: JobIx, own: OwnDemand, predecessors: Vec<JobIx>) {
+        if self.waiting.contains_key(&job) {
+            return;
+        }
+        for &p in &predecessors {
+            self.dependents.entry(p).or_default().push(job);
+        }
+        let changed = predecessors.clone();
+        self.waiting.insert(job, Waiting { own, predecessors });
+        self.pass_on(changed);
+    }
+
+    /// Takes out a job that waits no longer; returns the jobs that it waited for.
+    pub fn remove(&mut self, job: JobIx) -> Vec<JobIx> {
+        let Some(removed) = self.waiting.remove(&job) else {
+            return Vec::new();
+        };
+        for p in &removed.predecessors {
+            if let Some(dependents) = self.dependents.get_mut(p) {
+                dependents.retain(|&d| d != job);
+                if dependents.is_empty() {
+                    self.dependents.remove(p);
+                }
+            }
+        }
+        self.pass_on(removed.predecessors.clone());
+        removed.predecessors
+    }
+
+    /// The jobs that a waiting job needs.
+    pub fn predecessors(&self, job: JobIx) -> &[JobIx] {
+        self.waiting.get(&job).map_or(&[], |w| &w.predecessors)
+    }
+
+    /// Whether some job waits for this one.
+    pub fn is_needed(&self, job: JobIx) -> bool {
+        self.dependents.contains_key(&job)
+    }
+
+    /// What the jobs that need this one make of it.
+    pub fn inherited(&self, job: JobIx) -> Option<Importance> {
+        self.inherited.get(&job).copied()
+    }
+
+    /// All jobs that need this one, directly or through others.
+    pub fn descendants(&self, job: JobIx) -> Vec<JobIx> {
+        let mut found: HashSet<JobIx> = HashSet::new();
+        let mut order = Vec::new();
+        let mut queue = vec![job];
+        while let Some(next) = queue.pop() {
+            for &d in self.dependents.get(&next).into_iter().flatten() {
+                if found.insert(d) {
+                    order.push(d);
+                    queue.push(d);
+                }
+            }
+        }
+        order
+    }
+
+    /// What a waiting job asks of each of its predecessors.
+    fn importance(&self, job: JobIx) -> Option<Importance> {
+        let own = self.waiting.get(&job)?.own;
+        let done_by = Importance {
+            urgency: own.urgency,
+            start_by_ms: own.due_ms,
+        };
+        let done_by = match self.inherited(job) {
+            Some(inherited) => done_by.combine(inherited),
+            None => done_by,
+        };
+        Some(Importance {
+            start_by_ms: done_by.start_by_ms.map(|by| by - own.duration_ms),
+            ..done_by
+        })
+    }
+
+    /// Works out anew what others make of these jobs, and of those before them as far as that
+    /// changes anything.
+    fn pass_on(&mut self, mut changed: Vec<JobIx>) {
+        while let Some(job) = changed.pop() {
+            let dependents = self.dependents.get(&job).into_iter().flatten();
+            let all = dependents.filter_map(|&d| self.importance(d));
+            let inherited = all.reduce(Importance::combine);
+            if inherited == self.inherited(job) {
+                continue;
+            }
+            match inherited {
+                Some(importance) => self.inherited.insert(job, importance),
+                None => self.inherited.remove(&job),
+            };
+            changed.extend_from_slice(self.predecessors(job));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/dependencies/tests.rs
@@ -0,0 +1,115 @@
+//! Unit tests of `dependencies`.
+
+use super::*;
+use crate::names::Index;
+
+fn job(n: u32) -> JobIx {
+    JobIx::from_raw(n)
+}
+
+fn own(urgency: Urgency, due_ms: Option<i64>, duration_ms: i64) -> OwnDemand {
+    OwnDemand {
+        urgency,
+        due_ms,
+        duration_ms,
+    }
+}
+
+/// Adds a job that waits for others and asks for little itself.
+fn add(graph: &mut DependencyGraph, n: u32, needs: &[u32]) {
+    let needs = needs.iter().copied().map(job).collect();
+    graph.insert(job(n), own(Urgency::BestEffort, None, 10), needs);
+}
+
+#[test]
+fn the_last_jobs_priority_and_deadline_reach_all_before_it() {
+    let mut graph = DependencyGraph::default();
+    add(&mut graph, 1, &[0]);
+    add(&mut graph, 2, &[1]);
+    assert_eq!(
+        graph.inherited(job(0)).unwrap().urgency,
+        Urgency::BestEffort
+    );
+    graph.insert(job(3), own(Urgency::Urgent, Some(1000), 5), vec![job(2)]);
+    let start_by = |n| graph.inherited(job(n)).unwrap().start_by_ms;
+    assert_eq!(start_by(2), Some(995));
+    assert_eq!(start_by(1), Some(985));
+    assert_eq!(start_by(0), Some(975));
+    assert_eq!(graph.inherited(job(0)).unwrap().urgency, Urgency::Urgent);
+    assert_eq!(graph.inherited(job(3)), None);
+}
+
+#[test]
+fn the_order_in_which_jobs_become_known_makes_no_difference() {
+    // A full read brings them in the order of their names.
+    let edges: [(u32, &[u32]); 4] = [(1, &[0]), (2, &[0]), (3, &[1, 2]), (4, &[3])];
+    let mut results = Vec::new();
+    for order in [[0, 1, 2, 3], [3, 2, 1, 0], [2, 0, 3, 1]] {
+        let mut graph = DependencyGraph::default();
+        for at in order {
+            let (n, needs) = edges[at];
+            let due = (n == 4).then_some(500);
+            let needs = needs.iter().copied().map(job).collect();
+            graph.insert(job(n), own(Urgency::Normal, due, 100 * i64::from(n)), needs);
+        }
+        results.push((0..4).map(|n| graph.inherited(job(n))).collect::<Vec<_>>());
+    }
+    assert_eq!(results[0], results[1]);
+    assert_eq!(results[0], results[2]);
+    // Through 2, which takes longer than 1, and 3 and 4.
+    assert_eq!(
+        results[0][0].unwrap().start_by_ms,
+        Some(500 - 400 - 300 - 200)
+    );
+}
+
+#[test]
+fn a_dependent_that_is_gone_presses_no_longer() {
+    let mut graph = DependencyGraph::default();
+    add(&mut graph, 1, &[0]);
+    graph.insert(job(2), own(Urgency::Critical, Some(50), 1), vec![job(1)]);
+    graph.insert(job(3), own(Urgency::Normal, Some(90), 1), vec![job(1)]);
+    assert_eq!(graph.inherited(job(0)).unwrap().urgency, Urgency::Critical);
+    assert_eq!(graph.remove(job(2)), [job(1)]);
+    let left = graph.inherited(job(0)).unwrap();
+    assert_eq!(
+        (left.urgency, left.start_by_ms),
+        (Urgency::Normal, Some(79))
+    );
+    graph.remove(job(3));
+    assert!(!graph.is_needed(job(1)) && graph.is_needed(job(0)));
+    graph.remove(job(1));
+    assert_eq!(graph.inherited(job(0)), None);
+    assert!(!graph.is_needed(job(0)));
+    assert!(graph.remove(job(1)).is_empty());
+}
+
+#[test]
+fn descendants_are_found_once_each_through_every_path() {
+    let mut graph = DependencyGraph::default();
+    add(&mut graph, 1, &[0]);
+    add(&mut graph, 2, &[0]);
+    add(&mut graph, 3, &[1, 2]);
+    add(&mut graph, 4, &[3]);
+    add(&mut graph, 5, &[9]);
+    let mut all = graph.descendants(job(0));
+    all.sort();
+    assert_eq!(all, [job(1), job(2), job(3), job(4)]);
+    assert!(graph.descendants(job(4)).is_empty());
+}
+
+#[test]
+fn a_chain_of_thousands_grows_by_its_end_without_looking_at_all_of_it() {
+    // Each new job asks no more than the one before it, so nothing has to be passed on.
+    let mut graph = DependencyGraph::default();
+    for n in 1..50_000 {
+        add(&mut graph, n, &[n - 1]);
+    }
+    graph.insert(
+        job(50_000),
+        own(Urgency::Urgent, Some(0), 1),
+        vec![job(49_999)],
+    );
+    assert_eq!(graph.inherited(job(0)).unwrap().urgency, Urgency::Urgent);
+    assert_eq!(graph.descendants(job(0)).len(), 50_000);
+}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -3,10 +3,12 @@
 use crate::core::Core;
 use crate::queue::Room;
 use crate::records::JobRecord;
-use crate::view::{job_key, past_key};
+use crate::view::{job_key, past_key, waiting_key};
 use crate::wire::{Change, Guard, JobAnswer, JobSpec, JobStatus, Json, Submission, Txn};
 use std::collections::{HashMap, VecDeque};
 
+pub mod chained;
+
 /// Longest name of a job, and of anything else that a user names.
 const LONGEST_NAME: usize = 120;
 /// Most tasks of a job.
@@ -41,8 +43,12 @@
     let Some(name) = name.filter(|n| is_job_name(n)).map(str::to_owned) else {
         return Read::Bad(None, "ref: missing or not of the form wk-000000".into());
     };
-    let submission: Submission = match serde_json::from_value(value) {
-        Ok(s) => s,
+    let awaits = match chained::read_awaits(&value) {
+        Ok(awaits) => awaits,
+        Err(what) => return Read::Bad(Some(name), what),
+    };
+    let submission = match serde_json::from_value::<Submission>(value) {
+        Ok(s) => Submission { awaits, ..s },
         Err(e) => return Read::Bad(Some(name), e.to_string()),
     };
     match check(&submission.spec) {
@@ -125,23 +131,29 @@
         st: JobStatus::Pending,
         d: Default::default(),
         t: day_ms,
+        ready_ms: None,
     }
 }
 
-/// The transaction that accepts a job: it exists under neither of its keys.
+/// The transaction that accepts a job: it exists under none of its keys.
 pub fn accept(name: &str, record: &JobRecord) -> Txn {
     let guard = |k| Guard { k, stamp: 0 };
     Txn {
-        guards: vec![guard(job_key(name)), guard(past_key(name))],
+        guards: vec![
+            guard(job_key(name)),
+            guard(past_key(name)),
+            guard(waiting_key(name)),
+        ],
         then: vec![crate::core::put(&job_key(name), record, None)],
     }
 }
 
 /// The transaction that cancels a job read at `stamp`. It races with the last ending in the
-/// same key, so one of the two comes first for everybody.
-pub fn cancel(name: &str, record: &JobRecord, stamp: u64) -> Txn {
+/// same key, so one of the two comes first for everybody. Values may have so many bytes.
+pub fn cancel(name: &str, record: &JobRecord, stamp: u64, value_bytes: usize) -> Txn {
     let mut record = record.clone();
     record.st = JobStatus::Withdrawn;
+    record.shorten(value_bytes);
     Txn {
         guards: vec![Guard {
             k: job_key(name),
--- /dev/null
+++ b/src/jobs/chained/tests.rs
@@ -0,0 +1,1 @@
+//! Unit tests of `chained`.
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -13,8 +13,8 @@
     /// Seconds until the rest of a job must be begun to be done in time. Without a deadline of
     /// its own, the time that the operators' objectives give its class counts. Second, the
     /// seconds by which a small job counts as due earlier.
-    pub(crate) fn slack_s(&self, job: &Job) -> (f64, f64) {
-        let age = self.day_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
+    pub(crate) fn slack_s(&self, ix: JobIx, job: &Job) -> (f64, f64) {
+        let age_s = |since_ms: u64| self.day_ms.saturating_sub(since_ms) as f64 / 1000.0;
         let s = &self.settings.platform.settings;
         let objective = || {
             let of_class = s.objectives.iter().filter(|o| o.class == job.spec.route);
@@ -34,16 +34,37 @@
         // a little late. What costs little is worth saving first: small jobs count as due
         // earlier, by up to a minute.
         let small = 60.0 * (-work / (wide * 10.0)).exp();
-        match job.spec.due_s.or_else(objective) {
-            Some(due) => (due - age - rest, small),
-            None => (1e5 - age, 0.0),
+        // The deadline counts from the submission, all else from when the job became ready.
+        let own = job.spec.due_s.map(|due| due - age_s(job.submitted_ms));
+        let wished = || objective().map(|within| within - age_s(job.since_ms()));
+        let dependents = self.dependents_left_s(ix);
+        let left = match (own, dependents) {
+            (Some(own), Some(dependents)) => Some(own.min(dependents)),
+            (own, dependents) => own.or(dependents).or_else(wished),
+        };
+        match left {
+            Some(left) => (left - rest, small),
+            None => (1e5 - age_s(job.since_ms()), 0.0),
         }
     }
 
+    /// Seconds until a job must be done so that those which need it can be done in time.
+    fn dependents_left_s(&self, ix: JobIx) -> Option<f64> {
+        let inherited = self.view.dependencies.inherited(ix)?;
+        let start_by_ms = inherited.start_by_ms?;
+        Some((start_by_ms - self.day_ms as i64) as f64 / 1000.0)
+    }
+
+    /// A job's priority: its own, or that of a job which needs it, if that is higher.
+    pub(crate) fn urgency_of(&self, ix: JobIx, job: &Job) -> Urgency {
+        let inherited = self.view.dependencies.inherited(ix);
+        inherited.map_or(job.spec.urgency, |i| i.urgency.min(job.spec.urgency))
+    }
+
     /// The order in which jobs are served: urgent work first; of the rest, what can still be
     /// done in time, by slack; last, what is late beyond help.
-    pub(crate) fn rank(&self, job: &Job) -> (u8, f64) {
-        let (slack, small) = self.slack_s(job);
+    pub(crate) fn rank(&self, ix: JobIx, job: &Job) -> (u8, f64) {
+        let (slack, small) = self.slack_s(ix, job);
         let due = job.spec.due_s.unwrap_or(0.0);
         // Up to the largest multiple of the deadline that the operators still count.
         let objectives = &self.settings.platform.settings.objectives;
@@ -56,7 +77,7 @@
         let patience = if job.spec.due_s.is_some() { 10.0 } else { 60.0 };
         let hopeless = slack < -(due * (times - 1.0) + patience);
         let slack = slack - small;
-        match (job.spec.urgency, hopeless) {
+        match (self.urgency_of(ix, job), hopeless) {
             (Urgency::Critical, _) => (0, slack),
             (Urgency::Urgent, _) => (1, slack),
             (_, false) => (2, slack),
@@ -88,7 +109,7 @@
 
     /// Seconds for which nothing of a job was begun, or nothing more.
     fn waited_s(&self, ix: JobIx, job: &Job, now: Ms) -> f64 {
-        let age = self.day_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
+        let age = self.day_ms.saturating_sub(job.since_ms()) as f64 / 1000.0;
         match self.lead.served.get(&ix) {
             Some(&at) => now.since(at) as f64 / 1000.0,
             None if job.done.is_empty() && self.view.bound_len(ix) == 0 => age,
@@ -179,7 +200,7 @@
             let beyond = guarantee
                 .get(&job.team)
                 .is_none_or(|g| job.spec.vcpus > g + 1e-6);
-            let (tier, slack) = self.rank(job);
+            let (tier, slack) = self.rank(ix, job);
             order.push((tier, beyond, slack, ix));
         }
         order.sort_by(|a, b| {
--- /dev/null
+++ b/src/leader/chains.rs
@@ -0,0 +1,74 @@
+//! Jobs that wait for others: what is ready becomes an ordinary job, what is cancelled is archived.
+
+use super::*;
+use crate::records::{JobRecord, WaitingRecord};
+use crate::view::waiting_key;
+
+/// The ordinary job, or the archived one, that a waiting job becomes.
+fn record_of(waiting: &WaitingRecord, status: JobStatus, ready_ms: Option<u64>) -> JobRecord {
+    JobRecord {
+        s: waiting.spec.clone(),
+        st: status,
+        d: RangeSet::new(),
+        t: waiting.submitted_ms,
+        ready_ms,
+    }
+}
+
+impl Core {
+    /// Makes ordinary jobs of those that wait and whose predecessors are all finally done, the most
+    /// pressing first.
+    ///
+    /// A done job stays done, so the transaction needs no condition on it: the own key of the job
+    /// that waits decides between this and its cancellation.
+    pub(crate) fn plan_ready(&mut self) -> Option<Txn> {
+        if self.format < crate::records::CURRENT_FORMAT {
+            return None;
+        }
+        let waiting = self.view.waiting.jobs.keys().copied();
+        let mut ready: Vec<JobIx> = waiting.filter(|&job| self.view.is_ready(job)).collect();
+        ready.sort_by_key(|&job| (self.waiting_urgency(job), job));
+        let most = self.settings.platform.settings.state.txn_ops / 2;
+        let mut txn = Txn::default();
+        let mut size = 0;
+        for job in ready.into_iter().take(most) {
+            let waiting = self.view.waiting.jobs[&job].record.clone();
+            let name = self.view.names.jobs.name(job);
+            let record = record_of(&waiting, JobStatus::Pending, Some(self.day_ms));
+            let (from, to) = (waiting_key(name), job_key(name));
+            let change = put(&to, &record, None);
+            size += change.value_bytes();
+            if size > TXN_BYTES {
+                break;
+            }
+            debug!(job = name, "ready: all that it needs is done");
+            txn.guards.push(self.guard(&from));
+            txn.then.push(change);
+            txn.then.push(Change::Drop { drop: from });
+        }
+        (!txn.then.is_empty()).then_some(txn)
+    }
+
+    /// The priority of a job that waits, and of those that need it.
+    fn waiting_urgency(&self, job: JobIx) -> Urgency {
+        let own = self.view.waiting.jobs.get(&job);
+        let own = own.map_or(Urgency::BestEffort, |w| w.record.spec.urgency);
+        let inherited = self.view.dependencies.inherited(job);
+        inherited.map_or(own, |i| i.urgency.min(own))
+    }
+
+    /// Cancelled jobs that waited and that no other needs any more, with the values to be archived.
+    /// Those at the ends of chains come first, so that what their cancellation follows from stays
+    /// in every replica for as long as they do.
+    pub(crate) fn withdrawn_waiting(&self) -> Vec<(JobIx, String, JobRecord)> {
+        let waiting = self.view.waiting.jobs.iter();
+        let over = waiting.filter(|(job, w)| {
+            w.withdrawn && w.stamp <= self.view.ledger && !self.view.dependencies.is_needed(**job)
+        });
+        over.map(|(&job, w)| {
+            let key = waiting_key(self.view.names.jobs.name(job));
+            (job, key, record_of(&w.record, JobStatus::Withdrawn, None))
+        })
+        .collect()
+    }
+}
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -1,6 +1,7 @@
 //! Machines in and out of blocks, and what is known of them.
 
 use super::*;
+use crate::records::JobRecord;
 
 /// A machine that costs this much more than the cheapest one is dear to hold for a single task.
 const DEAR_TO_HOLD: f64 = 4.0;
@@ -313,12 +314,13 @@
         let most = self.settings.platform.settings.state.txn_ops;
         let mut txn = Txn::default();
         let mut size = 0;
-        let over = self
-            .view
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.status == JobStatus::Pending && j.done.len() >= j.spec.legs);
-        for (&ix, _) in over.take(most) {
+        let jobs = self.view.jobs.iter();
+        let over =
+            jobs.filter(|(_, j)| j.status == JobStatus::Pending && j.done.len() >= j.spec.legs);
+        let mut over: Vec<JobIx> = over.map(|(&ix, _)| ix).collect();
+        // What others wait for goes first.
+        over.sort_by_key(|&ix| (!self.view.dependencies.is_needed(ix), ix));
+        for ix in over.into_iter().take(most) {
             let Some(change) = self.job_change(ix, &RangeSet::new()) else {
                 continue;
             };
@@ -341,19 +343,20 @@
         }
         let most = (self.settings.platform.settings.state.txn_ops / 2).min(4);
         let binding: HashSet<JobIx> = self.binding().map(|b| b.1.task.job).collect();
-        let over: Vec<JobIx> = self
-            .view
-            .jobs
-            .iter()
-            .filter(|(ix, j)| {
-                j.status != JobStatus::Pending
-                    && !self.view.is_mentioned(**ix)
-                    && !binding.contains(*ix)
+        // The watch has passed it: no older change can bring the job back after its drop.
+        let over = self.view.jobs.iter().filter(|(ix, j)| {
+            j.status != JobStatus::Pending
+                && j.stamp <= self.view.ledger
+                && !self.view.is_mentioned(**ix)
+                && !binding.contains(*ix)
+        });
+        let mut over: Vec<(JobIx, String, JobRecord)> = over
+            .map(|(&ix, j)| {
+                let key = job_key(self.view.names.jobs.name(ix));
+                (ix, key, j.record(j.stored.clone(), j.status))
             })
-            // The watch has passed it: no older change can bring the job back after its drop.
-            .filter(|(_, j)| j.stamp <= self.view.ledger)
-            .map(|(&ix, _)| ix)
             .collect();
+        over.extend(self.withdrawn_waiting());
         // The more of them there are, the sooner the next turn: jobs that end faster than they
         // leave would fill the memory.
         let wait = 4000 / (1 + over.len() as u64 / 50);
@@ -363,15 +366,15 @@
         }
         let mut txn = Txn::default();
         let mut size = 0;
-        for ix in over.into_iter().take(most) {
-            let job = &self.view.jobs[&ix];
-            let name = self.view.names.jobs.name(ix);
-            let key = job_key(name);
-            let record = job.record(job.stored.clone(), job.status);
-            let change = put(&past_key(name), &record, None);
-            if let Change::Put { v, .. } = &change {
-                size += v.size();
+        for (ix, key, mut record) in over.into_iter().take(most) {
+            record.shorten(self.settings.value_bytes());
+            let change = put(&past_key(self.view.names.jobs.name(ix)), &record, None);
+            if change.value_bytes() > self.settings.value_bytes() {
+                // Written when values could be larger: it stays where it is, for it cannot be
+                // written anywhere any more.
+                continue;
             }
+            size += change.value_bytes();
             if size > TXN_BYTES && !txn.then.is_empty() {
                 break;
             }
@@ -379,6 +382,6 @@
             txn.then.push(change);
             txn.then.push(Change::Drop { drop: key });
         }
-        Some(txn)
+        (!txn.then.is_empty()).then_some(txn)
     }
 }
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -2,6 +2,7 @@
 //! PackStealLB, which every holder runs for its own machines.
 
 mod binding;
+mod chains;
 mod edits;
 mod grants;
 mod machines;
@@ -154,7 +155,9 @@
         if self.idle(Op::Leader, now) {
             let txn = self
                 .plan_grants(now)
+                .or_else(|| self.plan_ready())
                 .or_else(|| self.plan_finish())
+                .or_else(|| self.plan_format(now))
                 .or_else(|| self.plan_archive(now))
                 .or_else(|| self.plan_catalog());
             if let Some(mut txn) = txn {
--- a/src/leader/preemption.rs
+++ b/src/leader/preemption.rs
@@ -17,7 +17,7 @@
             .iter()
             .filter(|c| !c.tasks.is_empty())
             .filter_map(|c| Some((c, self.view.jobs.get(&c.job)?)))
-            .map(|(c, job)| (c, job, self.rank(job)))
+            .map(|(c, job)| (c, job, self.rank(c.job, job)))
             .filter(|(_, _, rank)| rank.0 <= 2 && rank.1 <= 60.0)
             .map(|(c, job, rank)| (c, job, rank.1))
             .take(PRESSING)
@@ -40,6 +40,7 @@
             }
         }
         for (c, job, slack) in pressing {
+            let urgency = self.urgency_of(c.job, job);
             if left <= 0.0 || victims.is_empty() {
                 break;
             }
@@ -48,7 +49,7 @@
             let by_team = room + 1e-6 < cpus;
             // Where the whole fleet is full, only urgent work may push others out: otherwise the
             // same lack moves from class to class, with stops and fetches on top.
-            if !by_team && job.spec.urgency > Urgency::Urgent {
+            if !by_team && urgency > Urgency::Urgent {
                 continue;
             }
             let wanted = c.tasks.len() as f64 * cpus;
@@ -71,7 +72,7 @@
                 };
                 let may = missing > 1e-6
                     && left > 0.0
-                    && v.urgency > job.spec.urgency
+                    && v.urgency > urgency
                     && (v.tier > 2 || v.slack > slack.max(0.0) + 30.0 + 0.5 * v.run_s)
                     && if by_team { v.team == c.team } else { suits() };
                 if may {
@@ -98,12 +99,12 @@
                     if run_s >= 60.0 || job.spec.waypoint_s <= 0.0 {
                         return None;
                     }
-                    let (tier, slack) = self.rank(job);
+                    let (tier, slack) = self.rank(e.task.job, job);
                     Some(Victim {
                         machine,
                         entry: *e,
                         team: job.team,
-                        urgency: job.spec.urgency,
+                        urgency: self.urgency_of(e.task.job, job),
                         cpus: job.spec.vcpus,
                         run_s,
                         tier,
--- a/src/leader/renting.rs
+++ b/src/leader/renting.rs
@@ -235,7 +235,7 @@
             .iter()
             .filter(|(_, j)| j.status == JobStatus::Pending)
             .collect();
-        jobs.sort_by_key(|(ix, j)| (j.spec.urgency, **ix));
+        jobs.sort_by_key(|(ix, j)| (self.urgency_of(**ix, j), **ix));
         let mut out = Vec::new();
         for (_, job) in jobs {
             let left = f64::from(job.spec.legs.saturating_sub(job.done.len()));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balance;
 pub mod clock;
 pub mod core;
+pub mod dependencies;
 pub mod fleet;
 pub mod fresh;
 pub mod jobs;
--- a/src/records.rs
+++ b/src/records.rs
@@ -5,10 +5,14 @@
 //! base 36, each machine a short text.
 
 use crate::ranges::{RangeSet, write_number};
-use crate::wire::{JobSpec, JobStatus};
+use crate::wire::{JobSpec, JobStatus, Json};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
 use std::collections::BTreeMap;
 
+/// The format of stored values that this version writes. Format 2 brought jobs that wait for others;
+/// versions before it do not say which one they write, which reads as 0.
+pub const CURRENT_FORMAT: u32 = 2;
+
 /// A job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -20,6 +24,90 @@
     pub d: RangeSet,
     /// Time of day of the submission, ms.
     pub t: u64,
+    /// Time of day, ms, at which the last job that this one needed was done. Absent for a job that
+    /// waited for none; the version before format 2 does not know it and may drop it.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub ready_ms: Option<u64>,
+}
+
+impl JobRecord {
+    /// Shortens the value of a job that is over to so many bytes, as far as that goes.
+    ///
+    /// Guards against a cancellation, an ending or an archiving that the service refuses because an
+    /// earlier, higher limit allowed a larger value. Nobody needs any more where such a job may run,
+    /// and which of its tasks were done is for display only.
+    pub fn shorten(&mut self, most_bytes: usize) {
+        let over = self.st != JobStatus::Pending;
+        let too_large = |record: &Self| Json::of(record).size() > most_bytes;
+        if !over || !too_large(self) {
+            return;
+        }
+        if self.st == JobStatus::Withdrawn {
+            self.d = RangeSet::all(self.d.len());
+        }
+        if too_large(self) {
+            (self.s.frames, self.s.yard) = (None, None);
+        }
+    }
+}
+
+/// A job that waits until other jobs are done. It stands under a key of its own, which the version
+/// before format 2 does not read, and becomes an ordinary [`JobRecord`] once it is ready.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WaitingRecord {
+    /// Specification.
+    #[serde(rename = "s")]
+    pub spec: JobSpec,
+    /// State: pending or withdrawn. A job is withdrawn too when one that it needs is.
+    #[serde(rename = "st")]
+    pub status: JobStatus,
+    /// Time of day of the submission, ms.
+    #[serde(rename = "t")]
+    pub submitted_ms: u64,
+    /// The jobs that it needs and that were not done when it was submitted.
+    #[serde(rename = "n")]
+    pub predecessors: NameList,
+}
+
+/// Names in ascending order, written front-coded.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct NameList(Vec<String>);
+
+impl NameList {
+    /// The names.
+    pub fn names(&self) -> &[String] {
+        &self.0
+    }
+}
+
+impl FromIterator<String> for NameList {
+    fn from_iter<T: IntoIterator<Item = String>>(names: T) -> Self {
+        let mut names: Vec<String> = names.into_iter().collect();
+        names.sort_unstable();
+        names.dedup();
+        Self(names)
+    }
+}
+
+impl Serialize for NameList {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        write_names(&self.0).serialize(s)
+    }
+}
+
+impl<'de> Deserialize<'de> for NameList {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(d)?;
+        read_names(&text).map(Self).map_err(D::Error::custom)
+    }
+}
+
+/// The format of stored values that every controller reads, in the key that says so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormatRecord {
+    /// The format.
+    #[serde(rename = "v")]
+    pub format: u32,
 }
 
 /// Tasks of one job and attempt in a block's value: place in its table of jobs, tasks, attempt.
@@ -71,13 +159,13 @@
     d: String,
 }
 
-/// Text that is no part of a block's value.
+/// Text that is no part of a stored value.
 #[derive(Debug, thiserror::Error)]
-#[error("not a block: {0:?}")]
-pub struct BadBlock(String);
+#[error("not a value of ours: {0:?}")]
+pub struct BadText(String);
 
-fn bad(text: &str) -> BadBlock {
-    BadBlock(text.chars().take(60).collect())
+fn bad(text: &str) -> BadText {
+    BadText(text.chars().take(60).collect())
 }
 
 /// Most characters that a name may share with the one before: one digit of base 36.
@@ -119,6 +207,30 @@
     ))
 }
 
+/// Writes a list of names, separated by spaces.
+fn write_names(list: &[String]) -> String {
+    let mut out = String::new();
+    let mut names = Names::default();
+    for name in list {
+        if !out.is_empty() {
+            out.push(' ');
+        }
+        names.write(name, &mut out);
+    }
+    out
+}
+
+/// Reads what [`write_names`] wrote.
+fn read_names(text: &str) -> Result<Vec<String>, BadText> {
+    let mut names: Vec<String> = Vec::new();
+    for part in parts(text, ' ') {
+        let before = names.last().map_or("", String::as_str);
+        let name = read_name(before, part).ok_or_else(|| bad(part))?;
+        names.push(name);
+    }
+    Ok(names)
+}
+
 fn write_listings(listed: &[Listing], out: &mut String) {
     for (job, tasks, attempt) in listed {
         out.push(' ');
@@ -184,19 +296,12 @@
     fn from(b: &BlockRecord) -> Packed {
         let mut packed = Packed {
             k: b.k.clone(),
-            j: String::new(),
+            j: write_names(&b.j),
             a: b.a,
             m: String::new(),
             d: String::new(),
         };
         let mut names = Names::default();
-        for job in &b.j {
-            if !packed.j.is_empty() {
-                packed.j.push(' ');
-            }
-            names.write(job, &mut packed.j);
-        }
-        let mut names = Names::default();
         for (name, m) in &b.m {
             if !packed.m.is_empty() {
                 packed.m.push(';');
@@ -224,19 +329,15 @@
 }
 
 impl TryFrom<Packed> for BlockRecord {
-    type Error = BadBlock;
+    type Error = BadText;
 
-    fn try_from(p: Packed) -> Result<Self, BadBlock> {
+    fn try_from(p: Packed) -> Result<Self, BadText> {
         let mut b = BlockRecord {
             k: p.k,
+            j: read_names(&p.j)?,
             a: p.a,
             ..BlockRecord::default()
         };
-        for text in parts(&p.j, ' ') {
-            let before = b.j.last().map_or("", String::as_str);
-            let name = read_name(before, text).ok_or_else(|| bad(text))?;
-            b.j.push(name);
-        }
         let mut before = String::new();
         for text in parts(&p.m, ';') {
             let read = || {
@@ -294,6 +395,9 @@
     pub b: u64,
     /// Lease.
     pub l: u64,
+    /// Format of stored values that it writes and reads; 0 of a version that does not say.
+    #[serde(rename = "v", default)]
+    pub format: u32,
 }
 
 #[cfg(test)]
--- a/src/service.rs
+++ b/src/service.rs
@@ -152,6 +152,20 @@
                     act.shared.core.lock().on_list(a, now);
                 }));
             }
+            Action::Archived(jobs) => {
+                let work = async move { state.final_states(&jobs).await };
+                ctx.spawn(work.into_actor(self).map(|found, act, ctx| {
+                    {
+                        let mut core = act.shared.core.lock();
+                        for (job, status) in &found {
+                            core.on_archived(job, *status);
+                        }
+                    }
+                    if !found.is_empty() {
+                        act.tick(ctx);
+                    }
+                }));
+            }
             Action::Rent(rental) => {
                 let call = rent(self.http.clone(), self.cloud.clone(), rental.clone());
                 ctx.spawn(call.into_actor(self).map(move |(got, sure), act, ctx| {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -117,6 +117,41 @@
     pub value_kb: f64,
     /// Changes in a transaction.
     pub txn_ops: usize,
+    /// Limits that the service will have from some moment on, without notice.
+    #[serde(default)]
+    pub next: NextStateLimits,
+}
+
+/// Limits that the state service will have later; what is absent stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextStateLimits {
+    /// Requests a second.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Changes a second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Size of a value.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Changes in a transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// Takes the smaller of the present and the later limits for each of them.
+    ///
+    /// Guards against a limit that falls between two writes: from its start a controller writes
+    /// nothing that either of the two would refuse.
+    fn keep_to_next(&mut self) {
+        let next = &self.next;
+        let least = |now: f64, next: Option<f64>| next.map_or(now, |next| now.min(next));
+        self.rps = least(self.rps, next.rps);
+        self.write_rps = least(self.write_rps, next.write_rps);
+        self.value_kb = least(self.value_kb, next.value_kb);
+        self.txn_ops = next.txn_ops.map_or(self.txn_ops, |n| self.txn_ops.min(n));
+    }
 }
 
 /// Limits of the cloud.
@@ -199,6 +234,7 @@
         };
         let mut platform: Platform = toml::from_str(text).map_err(one_line)?;
         platform.check()?;
+        platform.settings.state.keep_to_next();
         // A guest team without a guarantee came with a limit of 0, and every job of it was refused
         // as one that can never run: no limit is meant, it borrows whatever is unused.
         for team in &mut platform.settings.teams {
@@ -243,9 +279,10 @@
                 return bad(&format!("{name} must be more than 0"));
             }
         }
-        if s.state.txn_ops < 4 {
-            return bad("state.txn_ops must be at least 4");
+        if s.state.txn_ops < FEWEST_TXN_OPS {
+            return bad(&format!("state.txn_ops must be at least {FEWEST_TXN_OPS}"));
         }
+        self.check_next()?;
         if s.teams
             .iter()
             .any(|t| !(t.cpus_max >= 0.0 && t.gpus_max >= 0.0))
@@ -260,6 +297,33 @@
     }
 }
 
+impl Platform {
+    /// Checks the limits that the state service will have later.
+    fn check_next(&self) -> Result<(), SettingsError> {
+        let bad = |what: String| Err(SettingsError::Platform(what));
+        let next = &self.settings.state.next;
+        for (name, value) in [
+            ("state.next.rps", next.rps),
+            ("state.next.write_rps", next.write_rps),
+            ("state.next.value_kb", next.value_kb),
+        ] {
+            if value.is_some_and(|v| !(v.is_finite() && v > 0.0)) {
+                return bad(format!("{name} must be more than 0"));
+            }
+        }
+        if next.txn_ops.is_some_and(|n| n < FEWEST_TXN_OPS) {
+            return bad(format!(
+                "state.next.txn_ops must be at least {FEWEST_TXN_OPS}"
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// Fewest changes in a transaction with which a controller can work: a pack moves between two
+/// blocks in one, and a block is split into several.
+const FEWEST_TXN_OPS: usize = 4;
+
 macro_rules! options {
     ($($(#[$doc:meta])* $field:ident: $path:literal = $default:literal in $min:literal..=$max:literal;)*) => {
         /// The operators' own settings, from the XML file.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,9 @@
 //! Client of the state service.
 
 use crate::core::Outcome;
-use crate::wire::{Item, ItemList, NewsList, Txn};
+use crate::records::JobRecord;
+use crate::view::past_key;
+use crate::wire::{Item, ItemList, JobStatus, NewsList, Txn};
 use awc::Client;
 use awc::http::StatusCode;
 use serde::Deserialize;
@@ -42,6 +44,9 @@
     base: String,
 }
 
+/// Longest wait for one read of the archive that no user waits for.
+const ARCHIVE_WAIT: Duration = Duration::from_millis(1500);
+
 /// Largest body accepted from the state service.
 const BODY: usize = 64 << 20;
 
@@ -82,6 +87,30 @@
         parse(&body).map(Some)
     }
 
+    /// Reads a job that is over from the archive.
+    pub async fn archived(
+        &self,
+        job: &str,
+        wait: Duration,
+    ) -> Result<Option<JobRecord>, StateError> {
+        let Some(item) = self.read(&past_key(job), wait).await? else {
+            return Ok(None);
+        };
+        let record = item.v.read();
+        record.map(Some).map_err(|e| StateError::Odd(e.to_string()))
+    }
+
+    /// Reads the final states of jobs from the archive, as far as they are there.
+    pub async fn final_states(&self, jobs: &[String]) -> Vec<(String, JobStatus)> {
+        let mut found = Vec::new();
+        for job in jobs {
+            if let Ok(Some(record)) = self.archived(job, ARCHIVE_WAIT).await {
+                found.push((job.clone(), record.st));
+            }
+        }
+        found
+    }
+
     /// Reads the service's revision, on the way of a key that is short.
     pub async fn revision_of(&self, key: &str, wait: Duration) -> Result<u64, StateError> {
         let path = format!("/keys?starts={key}&limit=1");
@@ -165,10 +194,17 @@
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Outcome::Refused,
             StatusCode::BAD_REQUEST => {
                 let text = String::from_utf8_lossy(&body).into_owned();
-                if !text.contains("no such lease") {
-                    tracing::error!(text, "the state service calls a transaction malformed");
+                if text.contains("no such lease") {
+                    return Outcome::NoLease;
                 }
-                Outcome::NoLease
+                let (changes, guards) = (txn.then.len(), txn.guards.len());
+                tracing::error!(
+                    text,
+                    changes,
+                    guards,
+                    "the state service calls a transaction malformed"
+                );
+                Outcome::Malformed
             }
             _ => Outcome::Unknown,
         }
--- a/src/view.rs
+++ b/src/view.rs
@@ -3,16 +3,21 @@
 //! Everything that changes together stands under one prefix and is watched as one stream, so
 //! the replica is a consistent past of the whole: it may lag, but it never shows half a change.
 
+use crate::dependencies::DependencyGraph;
 use crate::names::{
     ClassIx, FrameIx, HostIx, ImageIx, Index, Interner, JobIx, MachineIx, TeamIx, ZoneIx,
 };
 use crate::ranges::RangeSet;
 use crate::records::{
-    BlockRecord, JobRecord, Listing, LoadRecord, MachineRecord, NodeRecord, OwnerRecord,
+    BlockRecord, FormatRecord, JobRecord, Listing, LoadRecord, MachineRecord, NodeRecord,
+    OwnerRecord,
 };
 use crate::wire::{Change, Item, JobSpec, JobStatus, Json, News, Txn};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use waiting::WaitingJobs;
+
+mod waiting;
 
 /// Prefix of everything that is watched.
 pub const ROOT: &str = "qb/";
@@ -20,10 +25,14 @@
 pub const LEAD: &str = "qb/lead";
 /// The machine types, as the cloud last described them.
 pub const CATALOG: &str = "qb/catalog";
+/// The format of stored values that all controllers were seen to read.
+pub const FORMAT: &str = "qb/format";
 const NODES: &str = "qb/node/";
 const GRANTS: &str = "qb/grant/";
 const BLOCKS: &str = "qb/block/";
 const JOBS: &str = "qb/job/";
+/// Prefix of jobs that wait for others; the version before format 2 does not read them.
+const WAITING: &str = "qb/wait/";
 const LOADS: &str = "qb/load/";
 /// Prefix of jobs that are over and left the watched part.
 const PAST: &str = "past/";
@@ -60,6 +69,10 @@
 pub fn job_key(name: &str) -> String {
     format!("{JOBS}{name}")
 }
+/// Key of a job that waits for others.
+pub fn waiting_key(name: &str) -> String {
+    format!("{WAITING}{name}")
+}
 /// Key of a job that is over.
 pub fn past_key(name: &str) -> String {
     format!("{PAST}{name}")
@@ -183,6 +196,8 @@
     pub permit: u64,
     /// Revision of the key.
     pub stamp: u64,
+    /// Format of stored values that it writes and reads.
+    pub format: u32,
 }
 
 /// A job, with its names mapped to indices.
@@ -210,6 +225,8 @@
     pub stored: RangeSet,
     /// Time of day of the submission.
     pub submitted_ms: u64,
+    /// Time of day at which the last job that this one needed was done, if it waited for any.
+    pub ready_ms: Option<u64>,
     /// Size of its value while nothing is done, bytes.
     pub bytes: usize,
 }
@@ -250,6 +267,7 @@
             st: status,
             d: done,
             t: self.submitted_ms,
+            ready_ms: self.ready_ms,
         }
     }
 }
@@ -314,8 +332,14 @@
     pub blocks: BTreeMap<BlockId, Block>,
     /// Machines of all blocks.
     pub machines: HashMap<MachineIx, Machine>,
-    /// Jobs.
+    /// Jobs that need not wait for others.
     pub jobs: HashMap<JobIx, Job>,
+    /// Jobs that wait for others.
+    pub waiting: WaitingJobs,
+    /// Which jobs the waiting ones need.
+    pub dependencies: DependencyGraph,
+    /// The format of stored values that all controllers were seen to read.
+    pub format: u32,
     /// Queue totals as published.
     pub loads: HashMap<HostIx, Loads>,
     /// Jobs that left since the last look; their indices are still reserved.
@@ -362,6 +386,8 @@
         gone.extend(self.grants.keys().map(|&b| grant_key(b)));
         gone.extend(self.blocks.keys().map(|&b| block_key(b)));
         gone.extend(self.jobs.keys().map(|&j| job_key(self.names.jobs.name(j))));
+        let waiting = self.waiting.jobs.keys();
+        gone.extend(waiting.map(|&j| waiting_key(self.names.jobs.name(j))));
         for key in gone.into_iter().filter(|k| !keep.contains(k)) {
             self.remove(&key);
         }
@@ -425,6 +451,9 @@
         } else if let Some(j) = key.strip_prefix(JOBS) {
             let job = self.names.jobs.get(j);
             job.and_then(|j| self.jobs.get(&j)).map(|j| j.stamp)
+        } else if let Some(j) = key.strip_prefix(WAITING) {
+            let job = self.names.jobs.get(j);
+            job.and_then(|j| self.waiting.jobs.get(&j)).map(|j| j.stamp)
         } else {
             None
         }
@@ -436,12 +465,16 @@
             self.put_owner(value, stamp).map(|o| self.lead = Some(o))
         } else if key == CATALOG {
             value.read().map(|c| self.catalog = Some(c))
+        } else if key == FORMAT {
+            let read = value.read::<FormatRecord>();
+            read.map(|r| self.format = self.format.max(r.format))
         } else if let Some(host) = key.strip_prefix(NODES) {
             value.read::<NodeRecord>().map(|n| {
                 let node = NodeView {
                     boot: Boot(n.b),
                     permit: n.l,
                     stamp,
+                    format: n.format,
                 };
                 self.nodes.insert(self.names.hosts.intern(host), node);
             })
@@ -456,6 +489,8 @@
                 .map(|r| self.put_block(BlockId(b), r, value.size(), stamp))
         } else if let Some(name) = key.strip_prefix(JOBS) {
             value.read().map(|r| self.put_job(name, r, stamp))
+        } else if let Some(name) = key.strip_prefix(WAITING) {
+            value.read().map(|r| self.put_waiting(name, r, stamp))
         } else if let Some(host) = key.strip_prefix(LOADS) {
             value.read::<LoadRecord>().map(|r| {
                 let host = self.names.hosts.intern(host);
@@ -603,6 +638,7 @@
         let ix = self.names.jobs.intern(name);
         if r.st == JobStatus::Withdrawn {
             self.touched.withdrawn.push(ix);
+            self.withdraw_descendants(ix);
         }
         if let Some(job) = self.jobs.get_mut(&ix) {
             // The specification never changes.
@@ -632,6 +668,7 @@
             done,
             stored: r.d,
             submitted_ms: r.t,
+            ready_ms: r.ready_ms,
             spec: Arc::new(r.s),
             bytes: 0,
         };
@@ -665,6 +702,10 @@
             && self.jobs.remove(&ix).is_some()
         {
             self.left.push(ix);
+        } else if let Some(j) = key.strip_prefix(WAITING)
+            && let Some(ix) = self.names.jobs.get(j)
+        {
+            self.remove_waiting(ix);
         }
     }
 
@@ -743,7 +784,8 @@
     /// Number of jobs that are not over.
     pub fn unfinished(&self) -> usize {
         let jobs = self.jobs.values();
-        jobs.filter(|j| j.status == JobStatus::Pending).count()
+        let open = jobs.filter(|j| j.status == JobStatus::Pending).count();
+        open + self.waiting.jobs.len()
     }
 
     /// The highest revision known here, by the watch or by an own commit.
@@ -776,9 +818,12 @@
         self.bound.get(&job).map_or(0, |l| l.len() as u32)
     }
 
-    /// Whether some queue lists a task of the job, or some block speaks of it.
+    /// Whether some queue lists a task of the job, some block speaks of it, or some job waits for
+    /// it. Until then it is not archived, so whoever looks at the waiting job sees this one too.
     pub fn is_mentioned(&self, job: JobIx) -> bool {
-        self.bound.contains_key(&job) || self.noted.get(&job).is_some_and(|n| n.blocks > 0)
+        self.bound.contains_key(&job)
+            || self.noted.get(&job).is_some_and(|n| n.blocks > 0)
+            || self.dependencies.is_needed(job)
     }
 
     /// Frees the indices of jobs that left and that no block mentions; returns them.
--- /dev/null
+++ b/src/view/waiting.rs
@@ -0,0 +1,168 @@
+//! The part of the replica that shows jobs which wait for others.
+//!
+//! They stand under a prefix of their own. What schedules looks at ordinary jobs only, so a job that
+//! waits takes no room, no turn and no part of a limit, whatever version leads.
+
+use super::{Job, View};
+use crate::dependencies::OwnDemand;
+use crate::names::JobIx;
+use crate::records::WaitingRecord;
+use crate::wire::{JobSpec, JobStatus};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A job that waits for others.
+#[derive(Debug, Clone)]
+pub struct WaitingJob {
+    /// Revision of its key.
+    pub stamp: u64,
+    /// Its value.
+    pub record: Arc<WaitingRecord>,
+    /// Whether it, or a job that it needs, was cancelled.
+    pub withdrawn: bool,
+}
+
+impl WaitingJob {
+    /// Its state as users see it.
+    pub fn status(&self) -> JobStatus {
+        match self.withdrawn {
+            true => JobStatus::Withdrawn,
+            false => JobStatus::Pending,
+        }
+    }
+}
+
+/// The jobs that wait, and what is known of the jobs they wait for.
+#[derive(Debug, Default)]
+pub struct WaitingJobs {
+    /// By index.
+    pub jobs: HashMap<JobIx, WaitingJob>,
+    /// Final states of needed jobs that left the watched keys too early: only a version that knows
+    /// nothing of waiting jobs archives one that is still needed.
+    pub archived: HashMap<JobIx, JobStatus>,
+}
+
+fn own_demand(spec: &JobSpec, submitted_ms: u64) -> OwnDemand {
+    let ms = |seconds: f64| (seconds * 1000.0) as i64;
+    OwnDemand {
+        urgency: spec.urgency,
+        due_ms: spec.due_s.map(|due_s| submitted_ms as i64 + ms(due_s)),
+        duration_ms: ms(spec.ride_s),
+    }
+}
+
+impl View {
+    /// Takes the value of a job that waits.
+    pub(super) fn put_waiting(&mut self, name: &str, record: WaitingRecord, stamp: u64) {
+        let job = self.names.jobs.intern(name);
+        self.left.retain(|&j| j != job);
+        let own = own_demand(&record.spec, record.submitted_ms);
+        let names = record.predecessors.names().iter();
+        let predecessors: Vec<JobIx> = names.map(|n| self.names.jobs.intern(n)).collect();
+        let cancelled = record.status == JobStatus::Withdrawn;
+        let before = self.waiting.jobs.get(&job).is_some_and(|w| w.withdrawn);
+        let withdrawn = before || cancelled || predecessors.iter().any(|&p| self.is_withdrawn(p));
+        self.dependencies.insert(job, own, predecessors);
+        let waiting = WaitingJob {
+            stamp,
+            record: Arc::new(record),
+            withdrawn,
+        };
+        self.waiting.jobs.insert(job, waiting);
+        if withdrawn {
+            self.withdraw_descendants(job);
+        }
+    }
+
+    /// A job waits no longer: it is ready, or over.
+    pub(super) fn remove_waiting(&mut self, job: JobIx) {
+        if self.waiting.jobs.remove(&job).is_none() {
+            return;
+        }
+        let predecessors = self.dependencies.remove(job);
+        for p in predecessors.into_iter().chain([job]) {
+            if !self.dependencies.is_needed(p) {
+                self.waiting.archived.remove(&p);
+            }
+            if !self.holds(p) && !self.left.contains(&p) {
+                self.left.push(p);
+            }
+        }
+    }
+
+    /// Whether a job stands under a key of its own.
+    fn holds(&self, job: JobIx) -> bool {
+        self.jobs.contains_key(&job) || self.waiting.jobs.contains_key(&job)
+    }
+
+    /// Whether a job, or one that it needs, was cancelled.
+    fn is_withdrawn(&self, job: JobIx) -> bool {
+        let ordinary = self.jobs.get(&job).map(|j| j.status);
+        let archived = || self.waiting.archived.get(&job).copied();
+        let waits = self.waiting.jobs.get(&job);
+        waits.is_some_and(|w| w.withdrawn)
+            || ordinary.or_else(archived) == Some(JobStatus::Withdrawn)
+    }
+
+    /// Whether a job is finally done: its own key says so, which nothing changes any more. That all
+    /// of its tasks have ended is not enough, for a cancellation may still come first at that key.
+    fn is_finally_done(&self, job: JobIx) -> bool {
+        let ordinary = self.jobs.get(&job).map(|j| j.status);
+        let archived = || self.waiting.archived.get(&job).copied();
+        ordinary.or_else(archived) == Some(JobStatus::Done)
+    }
+
+    /// A job was cancelled: so are all that need it. That is not written before it counts: whoever
+    /// sees the cancellation sees this as well.
+    pub(super) fn withdraw_descendants(&mut self, job: JobIx) {
+        for d in self.dependencies.descendants(job) {
+            if let Some(waiting) = self.waiting.jobs.get_mut(&d) {
+                waiting.withdrawn = true;
+            }
+        }
+    }
+
+    /// Whether all jobs that a waiting job needs are finally done.
+    pub fn is_ready(&self, job: JobIx) -> bool {
+        let waits = self.waiting.jobs.get(&job);
+        let predecessors = self.dependencies.predecessors(job);
+        waits.is_some_and(|w| !w.withdrawn) && predecessors.iter().all(|&p| self.is_finally_done(p))
+    }
+
+    /// Needed jobs that stand under no watched key, and of which no final state is known either.
+    pub fn missing_predecessors(&self) -> Vec<JobIx> {
+        let waiting = self.waiting.jobs.iter().filter(|(_, w)| !w.withdrawn);
+        let needed = waiting.flat_map(|(&job, _)| self.dependencies.predecessors(job));
+        let missing = needed.filter(|&p| !self.holds(*p) && !self.waiting.archived.contains_key(p));
+        let mut missing: Vec<JobIx> = missing.copied().collect();
+        missing.sort_unstable();
+        missing.dedup();
+        missing
+    }
+
+    /// Takes the final state of a needed job from the archive.
+    pub fn note_archived(&mut self, job: JobIx, status: JobStatus) {
+        if !self.dependencies.is_needed(job) || self.holds(job) {
+            return;
+        }
+        self.version += 1;
+        self.waiting.archived.insert(job, status);
+        if status == JobStatus::Withdrawn {
+            self.withdraw_descendants(job);
+        }
+    }
+
+    /// A job's state as users see it; none if it stands under no watched key.
+    pub fn status_of(&self, job: JobIx) -> Option<JobStatus> {
+        let ordinary = self.jobs.get(&job).map(|j| j.status);
+        ordinary.or_else(|| self.waiting.jobs.get(&job).map(WaitingJob::status))
+    }
+}
+
+impl Job {
+    /// Time of day from which all but the deadline is counted: the submission, or the moment at
+    /// which the last job that this one needed was done.
+    pub fn since_ms(&self) -> u64 {
+        self.ready_ms.unwrap_or(self.submitted_ms)
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -129,6 +129,10 @@
     /// What to run.
     #[serde(flatten)]
     pub spec: JobSpec,
+    /// Jobs that must be done before any task of this one starts; read by hand, for its errors
+    /// differ from those of the other fields.
+    #[serde(skip)]
+    pub awaits: Vec<String>,
 }
 
 /// Lifecycle of a job as users see it.
@@ -440,6 +444,16 @@
     },
 }
 
+impl Change {
+    /// Bytes of the value that it writes.
+    pub fn value_bytes(&self) -> usize {
+        match self {
+            Change::Put { v, .. } => v.size(),
+            Change::Drop { .. } => 0,
+        }
+    }
+}
+
 /// A change as it is read: raw values cannot be read through an untagged enum.
 #[derive(Deserialize)]
 struct ChangeRead {
@@ -598,4 +612,7 @@
     /// Who holds which block under which token, for such a peer.
     #[serde(default)]
     pub grants: Vec<(u32, u64, String)>,
+    /// Format of stored values that the sender writes and reads; 0 of a version that does not say.
+    #[serde(default)]
+    pub format: u32,
 }
--- /dev/null
+++ b/tests/chains.rs
@@ -0,0 +1,425 @@
+//! Stories of jobs that wait for others: they start once all that they need is finally done, and are
+//! cancelled with it, whatever fails.
+
+mod support;
+
+use quillbend::core::Outcome;
+use quillbend::view::{job_key, past_key};
+use quillbend::wire::{JobSpec, JobStatus, Urgency};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use support::{Mood, World};
+
+/// A chain of so many jobs of two tasks each, numbered from `n`; the first waits for nothing.
+fn chain_of(w: &mut World, n: u32, jobs: u32) -> Vec<String> {
+    let mut chain = vec![w.submit(n, w.spec(2))];
+    for k in 1..jobs {
+        let last = chain[chain.len() - 1].clone();
+        chain.push(w.chain(n + k, w.spec(2), &[&last]));
+    }
+    chain
+}
+
+/// What every controller that is up to date answers.
+fn all_answer(w: &mut World, job: &str) -> Vec<JobStatus> {
+    (0..w.nodes.len()).filter_map(|i| w.ask(i, job)).collect()
+}
+
+/// Plays on until each of these jobs is shown as withdrawn by every controller, within the time that
+/// a cancellation has, and archived as such in the end.
+fn all_withdrawn(w: &mut World, jobs: &[String]) {
+    w.run(w.cancel_ms());
+    for job in jobs {
+        let answers = all_answer(w, job);
+        assert!(
+            !answers.is_empty() && answers.iter().all(|a| *a == JobStatus::Withdrawn),
+            "{job}: {answers:?}"
+        );
+        assert_eq!(w.running_of(job), 0, "{job}");
+    }
+    let archived = |w: &World, j: &String| w.state.value(&past_key(j)).is_some();
+    w.until(120_000, "archived", |w| jobs.iter().all(|j| archived(w, j)));
+    for job in jobs {
+        assert_eq!(w.job(job).map(|j| j.st), Some(JobStatus::Withdrawn));
+    }
+}
+
+#[test]
+fn a_chain_runs_in_order_and_each_job_begins_at_once_when_the_one_before_it_is_done() {
+    let mut w = World::settled(1, 3, 6);
+    w.run_ms = 4000;
+    let chain = chain_of(&mut w, 1, 4);
+    w.run(2000);
+    for job in &chain[1..] {
+        assert!(
+            all_answer(&mut w, job)
+                .iter()
+                .all(|a| *a == JobStatus::Pending)
+        );
+        assert_eq!(w.starts_of(job), 0);
+    }
+    for pair in chain.windows(2) {
+        w.until(30_000, "the one before is done", |w| w.is_done(&pair[0]));
+        w.until(3500, "the next one begins", |w| w.running_of(&pair[1]) > 0);
+    }
+    w.all_end_well(&chain);
+}
+
+#[test]
+fn a_job_waits_for_all_that_it_names_of_any_team_and_in_any_state() {
+    let mut w = World::settled(2, 3, 6);
+    w.run_ms = 3000;
+    let done = w.submit(1, w.spec(1));
+    w.until(20_000, "done", |w| w.is_done(&done));
+    w.until(60_000, "archived", |w| {
+        w.state.value(&job_key(&done)).is_none()
+    });
+    let mut red = w.spec(2);
+    red.crew = "red".into();
+    let other = w.submit(2, red);
+    let slow = w.submit(3, w.spec(2));
+    w.faulty.insert(slow.clone());
+    let last = w.chain(4, w.spec(2), &[&done, &other, &slow, &done]);
+    w.until(30_000, "the other is done", |w| w.is_done(&other));
+    w.run(20_000);
+    assert_eq!(w.starts_of(&last), 0, "one that it names is not done");
+    assert_eq!(
+        w.waiting(&last).map(|r| r.predecessors.names().len()),
+        Some(2)
+    );
+    w.faulty.clear();
+    w.until(120_000, "done", |w| w.is_done(&last));
+    let after = w.chain(5, w.spec(1), &[&done, &last]);
+    assert!(w.waiting(&after).is_none(), "all is done: it need not wait");
+    w.until(30_000, "done", |w| w.is_done(&after));
+    w.assert_kept();
+}
+
+#[test]
+fn a_job_that_was_never_accepted_cannot_be_named_nor_can_a_job_name_itself() {
+    let mut w = World::settled(3, 3, 4);
+    let known = w.submit(1, w.spec(1));
+    w.run(300);
+    let never = "wk-000777".to_owned();
+    assert_eq!(
+        w.submit_after(0, 2, w.spec(1), &[known.clone(), never]),
+        None
+    );
+    let itself = "wk-000002".to_owned();
+    assert_eq!(w.submit_after(0, 2, w.spec(1), &[itself]), None);
+    assert!(w.submit_after(0, 2, w.spec(1), &[known]).is_some());
+}
+
+#[test]
+fn waiting_jobs_take_no_room_no_limit_no_turn_and_rent_nothing() {
+    let mut w = World::settled(4, 3, 4);
+    w.run_ms = 100_000;
+    let first = w.submit(1, w.spec(2));
+    let mut large = w.spec(400);
+    large.urgency = Urgency::Critical;
+    for n in 2..20 {
+        w.chain(n, large.clone(), &[&first]);
+    }
+    w.run(60_000);
+    assert_eq!(
+        w.workers.len(),
+        4,
+        "machines were rented for what cannot run yet"
+    );
+    w.run_ms = 3000;
+    let other = w.submit(30, w.spec(12));
+    w.until(15_000, "others have the room", |w| w.is_done(&other));
+    w.assert_kept();
+}
+
+#[test]
+fn the_priority_and_the_deadline_of_the_last_job_count_for_those_before_it() {
+    let mut w = World::settled(5, 3, 3);
+    w.cloud_up = false;
+    w.run_ms = 6000;
+    let best_effort = |w: &World, legs: u32| JobSpec {
+        urgency: Urgency::BestEffort,
+        ..w.spec(legs)
+    };
+    // The fleet is full of ordinary work; the chain's first job alone would come last.
+    for n in 1..=6 {
+        let mut spec = w.spec(8);
+        spec.crew = "red".into();
+        w.submit(n, spec);
+    }
+    w.run(3000);
+    let mut first = best_effort(&w, 2);
+    first.crew = "red".into();
+    let alone = w.submit(40, first.clone());
+    let first = w.submit(41, first);
+    let second = w.chain(42, best_effort(&w, 2), &[&first]);
+    let mut urgent = w.spec(1);
+    (urgent.urgency, urgent.due_s) = (Urgency::Urgent, Some(60.0));
+    w.chain(43, urgent, &[&second]);
+    w.until(60_000, "the chain gets on", |w| w.is_done(&first));
+    assert!(!w.is_done(&alone), "it was not its turn");
+    w.assert_kept();
+}
+
+#[test]
+fn a_cancellation_withdraws_all_that_needs_the_job_and_nothing_else() {
+    // A diamond with a tail, a wide fan, and neighbours that go on.
+    for (seed, cancelled_at) in [(6, 0), (7, 1)] {
+        let mut w = World::settled(seed, 3, 6);
+        w.run_ms = 60_000;
+        let top = w.submit(1, w.spec(2));
+        let left = w.chain(2, w.spec(2), &[&top]);
+        let right = w.chain(3, w.spec(2), &[&top]);
+        let bottom = w.chain(4, w.spec(2), &[&left, &right]);
+        let tail = w.chain(5, w.spec(2), &[&bottom]);
+        let fan: Vec<String> = (6..20).map(|n| w.chain(n, w.spec(1), &[&left])).collect();
+        let aside = w.chain(30, w.spec(1), &[&right]);
+        w.run(1500);
+        let victim = [&top, &left][cancelled_at].clone();
+        assert!(matches!(w.cancel_through(0, &victim), Outcome::Done(_)));
+        let mut over = vec![victim.clone(), bottom, tail];
+        over.extend(fan);
+        if cancelled_at == 0 {
+            over.extend([left, right.clone(), aside.clone()]);
+        }
+        // Whoever knows of the cancellation answers alike, at once.
+        w.run(100);
+        for job in &over {
+            assert_eq!(w.ask(0, job), Some(JobStatus::Withdrawn), "{job}");
+        }
+        w.run_ms = 3000;
+        all_withdrawn(&mut w, &over);
+        if cancelled_at == 1 {
+            let named = [right, aside];
+            w.until(200_000, "the others go on", |w| {
+                named.iter().all(|j| w.is_done(j))
+            });
+        }
+        w.assert_kept();
+    }
+}
+
+#[test]
+fn a_job_that_names_a_cancelled_one_is_accepted_and_withdrawn() {
+    let mut w = World::settled(8, 3, 4);
+    let first = w.submit(1, w.spec(2));
+    let second = w.chain(2, w.spec(2), &[&first]);
+    w.run(500);
+    w.cancel(&first);
+    w.run(500);
+    // Its predecessor was withdrawn with the first; later both are archived.
+    let third = w.chain(3, w.spec(2), &[&second]);
+    all_withdrawn(&mut w, &[first.clone(), second.clone(), third]);
+    let fourth = w.chain(4, w.spec(2), &[&second]);
+    all_withdrawn(&mut w, &[fourth]);
+    w.assert_kept();
+}
+
+#[test]
+fn a_cancellation_and_the_last_ending_race_and_the_chain_follows_whoever_was_first() {
+    for order in [true, false] {
+        for seed in 9..13 {
+            let mut w = World::settled(seed, 3, 4);
+            w.run_ms = 4000;
+            let first = w.submit(1, w.spec(2));
+            let next = w.chain(2, w.spec(2), &[&first]);
+            w.until(15_000, "it runs", |w| w.running_of(&first) == 2);
+            if order {
+                w.until(15_000, "all tasks are done", |w| w.done(&first) == 2);
+            } else {
+                w.run(3900);
+            }
+            let i = seed as usize % 3;
+            match w.cancel_through(i, &first) {
+                Outcome::Done(_) if w.job(&first).is_some_and(|j| j.st == JobStatus::Withdrawn) => {
+                    all_withdrawn(&mut w, &[first, next.clone()]);
+                    assert_eq!(w.starts_of(&next), 0);
+                }
+                _ => w.until(60_000, "the chain goes on", |w| w.is_done(&next)),
+            }
+            w.assert_kept();
+        }
+    }
+}
+
+#[test]
+fn a_cancellation_of_the_waiting_job_and_its_becoming_ready_race_in_one_key() {
+    for seed in 13..19 {
+        let mut w = World::settled(seed, 3, 4);
+        w.run_ms = 3000;
+        let first = w.submit(1, w.spec(1));
+        let next = w.chain(2, w.spec(2), &[&first]);
+        let last = w.chain(3, w.spec(2), &[&next]);
+        w.until(30_000, "it is ready", |w| w.is_done(&first));
+        // An answer that is lost, a copy that is carried out later, a controller that refuses.
+        let leader = w.leader().expect("leads");
+        w.links[leader].state =
+            [Mood::LosesAnswers, Mood::Late(2500), Mood::Good][seed as usize % 3];
+        w.run(100 * (seed % 4));
+        let outcome = w.cancel_through((leader + 1) % 3, &next);
+        assert!(matches!(outcome, Outcome::Done(_)));
+        w.run(4000);
+        w.heal();
+        all_withdrawn(&mut w, &[next, last]);
+        w.assert_kept();
+    }
+}
+
+#[test]
+fn a_submission_races_with_the_end_and_the_cancellation_of_what_it_names() {
+    for cancelled in [true, false] {
+        let mut w = World::settled(20, 3, 4);
+        w.run_ms = 3000;
+        let first = w.submit(1, w.spec(1));
+        w.run(1000);
+        // Decided on what controller 0 shows; carried out after the other has changed the key.
+        let core = w.core(0);
+        let named = vec![(first.clone(), core.view.predecessor(&first))];
+        let record = quillbend::jobs::new_record(w.spec(1), w.now);
+        let planned =
+            quillbend::jobs::chained::plan_acceptance("wk-000002", record, named, &w.settings);
+        if cancelled {
+            w.cancel(&first);
+        } else {
+            w.until(30_000, "done", |w| w.is_done(&first));
+        }
+        let txn = planned.expect("planned").txn().clone();
+        assert!(matches!(w.state.commit(&txn), Outcome::Conflict(_)));
+        w.until(90_000, "archived", |w| {
+            w.state.value(&past_key(&first)).is_some()
+        });
+        assert!(matches!(w.state.commit(&txn), Outcome::Conflict(_)));
+        let second = w.chain(2, w.spec(1), &[&first]);
+        match cancelled {
+            true => all_withdrawn(&mut w, &[second]),
+            false => w.until(30_000, "done", |w| w.is_done(&second)),
+        }
+        w.assert_kept();
+    }
+}
+
+#[test]
+fn a_repeated_submission_of_a_waiting_job_changes_nothing() {
+    let mut w = World::settled(21, 3, 4);
+    w.run_ms = 3000;
+    let first = w.submit(1, w.spec(1));
+    let second = w.chain(2, w.spec(1), &[&first]);
+    w.run(300);
+    // With other names, with none, and as an ordinary job.
+    assert_eq!(w.submit_after(1, 2, w.spec(1), &[first.clone()]), None);
+    let record = quillbend::jobs::new_record(w.spec(1), w.now);
+    let ordinary = quillbend::jobs::accept(&second, &record);
+    assert!(matches!(w.state.commit(&ordinary), Outcome::Conflict(_)));
+    w.until(60_000, "done", |w| w.is_done(&second));
+    assert!(matches!(w.state.commit(&ordinary), Outcome::Conflict(_)));
+    assert_eq!(w.starts_of(&second), 1);
+    w.assert_kept();
+}
+
+#[test]
+fn what_is_needed_is_not_archived_and_a_new_leader_or_a_full_read_loses_nothing() {
+    let mut w = World::settled(22, 3, 6);
+    w.run_ms = 3000;
+    let first = w.submit(1, w.spec(1));
+    let slow = w.submit(2, w.spec(1));
+    w.faulty.insert(slow.clone());
+    let last = w.chain(3, w.spec(2), &[&first, &slow]);
+    w.until(20_000, "done", |w| w.is_done(&first));
+    w.run(90_000);
+    assert!(
+        w.state.value(&past_key(&first)).is_none(),
+        "it is still needed"
+    );
+    // Everybody reads everything anew.
+    for i in 0..3 {
+        w.crash(i);
+    }
+    w.run(500);
+    (0..3).for_each(|i| w.start(i));
+    w.run(20_000);
+    assert_eq!(w.starts_of(&last), 0);
+    w.faulty.clear();
+    w.until(120_000, "done", |w| w.is_done(&last));
+    w.until(120_000, "archived", |w| {
+        w.state.value(&past_key(&first)).is_some()
+    });
+    w.assert_kept();
+}
+
+#[test]
+fn a_predecessor_that_an_older_version_archived_is_found_in_the_archive() {
+    for status in [JobStatus::Done, JobStatus::Withdrawn] {
+        let mut w = World::settled(23, 3, 4);
+        w.run_ms = 3000;
+        let first = w.submit(1, w.spec(1));
+        w.faulty.insert(first.clone());
+        let next = w.chain(2, w.spec(1), &[&first]);
+        w.run(3000);
+        let mut record = w.job(&first).expect("known");
+        record.st = status;
+        let value = serde_json::to_value(&record).expect("json");
+        w.state.overwrite(&past_key(&first), &value);
+        w.state.forget(&job_key(&first));
+        match status {
+            JobStatus::Done => w.until(30_000, "done", |w| w.is_done(&next)),
+            _ => all_withdrawn(&mut w, &[next]),
+        }
+    }
+}
+
+#[test]
+fn chains_outlive_crashes_outages_and_changes_of_leader() {
+    for seed in 24..28 {
+        let mut w = World::settled(seed, [3, 5][seed as usize % 2], 8);
+        w.run_ms = 4000;
+        let mut luck = SmallRng::seed_from_u64(seed);
+        let mut all = Vec::new();
+        for n in 0..4 {
+            all.extend(chain_of(&mut w, 100 * (n + 1), 4));
+        }
+        for _ in 0..6 {
+            let leader = w.leader();
+            if let Some(leader) = leader {
+                w.crash(leader);
+            }
+            w.outage(luck.random_bool(0.4));
+            w.run(luck.random_range(500..6000));
+            w.heal();
+            w.run(luck.random_range(2000..8000));
+        }
+        let called_off = all[5].clone();
+        // The door answers `done` for a job that is done, and cancels nothing.
+        let cancelled =
+            !w.is_done(&called_off) && matches!(w.cancel(&called_off), Outcome::Done(_));
+        let (over, rest): (Vec<String>, Vec<String>) = all.into_iter().partition(|j| {
+            cancelled && ["wk-000201", "wk-000202", "wk-000203"].contains(&j.as_str())
+        });
+        w.run_asking(20_000, &over);
+        w.all_end_well(&rest);
+        if cancelled {
+            all_withdrawn(&mut w, &over);
+        }
+        w.assert_kept();
+    }
+}
+
+#[test]
+fn every_answer_after_a_cancellation_is_as_new_also_while_the_state_service_is_out() {
+    for seed in 28..32 {
+        let mut w = World::settled(seed, 3, 6);
+        w.run_ms = 20_000;
+        let chain = chain_of(&mut w, 1, 5);
+        w.run(4000);
+        let at = seed as usize % 2;
+        let leader = w.leader().expect("leads");
+        assert!(matches!(w.cancel_through(at, &chain[0]), Outcome::Done(_)));
+        w.outage(true);
+        w.run_asking(3000, &chain);
+        w.crash(leader);
+        w.run(3000);
+        w.heal();
+        w.run_asking(15_000, &chain);
+        all_withdrawn(&mut w, &chain);
+        w.assert_kept();
+    }
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -236,7 +236,7 @@
     let job = w.submit(1, w.spec(1));
     w.until(30_000, "done", |w| w.is_done(&job));
     let record = w.job(&job).expect("known");
-    let stale = quillbend::jobs::cancel(&job, &record, 1);
+    let stale = quillbend::jobs::cancel(&job, &record, 1, w.settings.value_bytes());
     assert!(matches!(w.state.commit(&stale), Outcome::Conflict(_)));
     w.run(10_000);
     assert!(w.is_done(&job), "also after it left the watched part");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,9 +5,10 @@
 use quillbend::clock::Ms;
 use quillbend::core::{Action, Core, Op, Outcome, Reply};
 use quillbend::jobs;
+use quillbend::jobs::chained::{self, Acceptance, Predecessor, plan_acceptance};
 use quillbend::records::*;
 use quillbend::settings::{Options, Platform, Settings};
-use quillbend::view::{job_key, past_key};
+use quillbend::view::{job_key, past_key, waiting_key};
 use quillbend::wire::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -49,10 +50,20 @@
     /// Its revision at each moment.
     marks: Vec<(u64, u64)>,
     pub writes: u64,
+    /// Largest value, bytes, and most changes of a transaction, once it has such limits.
+    pub limits: Option<(usize, usize)>,
+    /// Transactions that were too large for them.
+    pub too_large: u64,
 }
 
 impl State {
     pub fn commit(&mut self, txn: &Txn) -> Outcome {
+        if let Some((value_bytes, txn_ops)) = self.limits
+            && (txn.then.len() > txn_ops || txn.then.iter().any(|c| c.value_bytes() > value_bytes))
+        {
+            self.too_large += 1;
+            return Outcome::Malformed;
+        }
         for c in &txn.then {
             if let Change::Put {
                 permit: Some(p), ..
@@ -318,6 +329,12 @@
     /// How much faster than true time each controller's steady clock runs.
     pub drift: Vec<f64>,
     pub settings: Settings,
+    /// Settings of the version before, which does not read the limits to come.
+    pub old_settings: Settings,
+    /// Controllers that come up in the version before.
+    pub old: Vec<bool>,
+    /// The jobs that each job named when it was submitted.
+    awaits: BTreeMap<String, Vec<String>>,
     /// Of each report copies arrive this many ms later, at any controller.
     pub copies: Vec<u64>,
     /// Of each message between controllers copies arrive this many ms later.
@@ -335,6 +352,10 @@
 
 pub const PLATFORM: &str = include_str!("platform.toml");
 
+/// What the settings say of limits to come.
+pub const NEXT_LIMITS: &str =
+    "[settings.state.next]\nvalue_kb = 1.5\ntxn_ops = 4\nwrite_rps = 18.0\n";
+
 /// When every story begins, ms.
 const BEGIN: u64 = 10_000_000;
 
@@ -346,11 +367,23 @@
 
     /// A world of so many controllers and machines.
     pub fn sized(seed: u64, nodes: usize, machines: usize) -> World {
-        let platform = PLATFORM.replace("count = 3", &format!("count = {nodes}"));
-        let settings = Settings::new(
-            Platform::parse(&platform).expect("good"),
-            Options::default(),
-        );
+        World::of_platform(seed, nodes, machines, PLATFORM, false)
+    }
+
+    /// A world in production: its controllers run the version before, and the settings name the
+    /// limits that the state service will have after the upgrade.
+    pub fn in_production(seed: u64, nodes: usize, machines: usize) -> World {
+        let platform = PLATFORM.replace("txn_ops = 12\n", &format!("txn_ops = 12\n{NEXT_LIMITS}"));
+        World::of_platform(seed, nodes, machines, &platform, true)
+    }
+
+    fn of_platform(seed: u64, nodes: usize, machines: usize, platform: &str, old: bool) -> World {
+        let count = format!("count = {nodes}");
+        let parse = |text: &str| {
+            let platform = Platform::parse(&text.replace("count = 3", &count)).expect("good");
+            Settings::new(platform, Options::default())
+        };
+        let (settings, old_settings) = (parse(platform), parse(PLATFORM));
         let mut w = World {
             now: BEGIN,
             state: State::default(),
@@ -369,6 +402,9 @@
             told: BTreeMap::new(),
             drift: vec![0.0; nodes],
             settings,
+            old_settings,
+            old: vec![old; nodes],
+            awaits: BTreeMap::new(),
             copies: Vec::new(),
             peer_copies: Vec::new(),
             late_news: Vec::new(),
@@ -509,7 +545,10 @@
     }
 
     pub fn start(&mut self, i: usize) {
-        let mut s = self.settings.clone();
+        let mut s = match self.old[i] {
+            true => self.old_settings.clone(),
+            false => self.settings.clone(),
+        };
         let names: Vec<String> = (0..self.nodes.len()).map(|n| format!("n{n}")).collect();
         s.platform.host_name = names[i].clone();
         s.platform.known = names
@@ -521,7 +560,10 @@
                 endpoint: "127.0.0.1:1".into(),
             })
             .collect();
-        let core = Core::new(s, self.rng.random());
+        let mut core = Core::new(s, self.rng.random());
+        if self.old[i] {
+            core.run_as_format(0);
+        }
         let node = Node {
             core,
             frozen_until: 0,
@@ -616,13 +658,96 @@
         name
     }
 
+    /// A user submits a job that names others through a controller, as the door does; none if that
+    /// is not taken now.
+    pub fn submit_after(
+        &mut self,
+        i: usize,
+        n: u32,
+        spec: JobSpec,
+        awaits: &[String],
+    ) -> Option<String> {
+        let name = format!("wk-{n:06}");
+        let clock = self.clock(i);
+        let core = &self.nodes[i].as_ref()?.core;
+        if core.view.ledger < self.state.ledger() || self.link(i).state == Mood::Refuses {
+            return None;
+        }
+        let named = awaits.iter().map(|a| {
+            let shown = core.view.predecessor(a);
+            let archived = || match self.job(a).map(|j| j.st) {
+                Some(JobStatus::Done) => Predecessor::Done,
+                Some(JobStatus::Withdrawn) => Predecessor::Withdrawn,
+                _ => Predecessor::Unwatched,
+            };
+            let known = match shown {
+                Predecessor::Unwatched => archived(),
+                shown => shown,
+            };
+            (a.clone(), known)
+        });
+        let record = jobs::new_record(spec, self.now);
+        let accepted = plan_acceptance(&name, record, named.collect(), &core.settings).ok()?;
+        if matches!(accepted, Acceptance::Waiting(_)) && !core.accepts_waiting(clock) {
+            return None;
+        }
+        let txn = accepted.txn().clone();
+        let Outcome::Done(ledger) = self.state.commit(&txn) else {
+            return None;
+        };
+        if let Some(node) = &mut self.nodes[i] {
+            node.core.view.apply_own(&txn, ledger);
+        }
+        self.awaits.insert(name.clone(), awaits.to_vec());
+        Some(name)
+    }
+
+    /// Submits a job that names others through any controller that takes it.
+    pub fn chain(&mut self, n: u32, spec: JobSpec, awaits: &[&String]) -> String {
+        let awaits: Vec<String> = awaits.iter().map(|a| (*a).clone()).collect();
+        let end = self.now + 20_000;
+        while self.now < end {
+            for i in 0..self.nodes.len() {
+                if let Some(name) = self.submit_after(i, n, spec.clone(), &awaits) {
+                    return name;
+                }
+            }
+            self.step();
+        }
+        panic!("never accepted: {n} after {awaits:?}");
+    }
+
+    /// Whether a job that this one needs, directly or through others, was cancelled; since when.
+    fn orphaned_since(&self, name: &str) -> Option<u64> {
+        let named = self.awaits.get(name)?;
+        let since = named.iter().filter_map(|a| {
+            let own = self.cancelled.get(a).copied();
+            own.or_else(|| self.orphaned_since(a))
+        });
+        since.min()
+    }
+
+    /// The value of a job that waits for others.
+    pub fn waiting(&self, name: &str) -> Option<WaitingRecord> {
+        serde_json::from_value(self.state.value(&waiting_key(name))?).ok()
+    }
+
     pub fn cancel(&mut self, name: &str) -> Outcome {
         self.call_off(name).1
     }
 
     fn call_off(&mut self, name: &str) -> (Txn, Outcome) {
-        let record = self.job(name).expect("known");
-        let txn = jobs::cancel(name, &record, self.state.stamp(&job_key(name)));
+        let txn = match self.waiting(name) {
+            Some(record) => {
+                let stamp = self.state.stamp(&waiting_key(name));
+                chained::cancel_waiting(name, &record, stamp)
+            }
+            None => {
+                let record = self.job(name).expect("known");
+                let stamp = self.state.stamp(&job_key(name));
+                jobs::cancel(name, &record, stamp, self.settings.value_bytes())
+            }
+        };
         let outcome = self.state.commit(&txn);
         if let Outcome::Done(_) = outcome {
             self.cancelled.insert(name.into(), self.now);
@@ -647,11 +772,18 @@
         if view.ledger < self.state.ledger() {
             return None;
         }
-        let known = view.names.jobs.get(name).and_then(|ix| view.jobs.get(&ix));
+        let known = view.names.jobs.get(name).and_then(|ix| view.status_of(ix));
         let status = match known {
-            Some(job) => job.status,
+            Some(status) => status,
             None => self.job(name)?.st,
         };
+        if let Some(at) = self
+            .orphaned_since(name)
+            .filter(|_| status != JobStatus::Withdrawn)
+        {
+            let what = format!("orphaned: {name} is {status:?}, cancelled at {at}");
+            self.broken.push(what);
+        }
         self.tell(name, status);
         Some(status)
     }
@@ -889,6 +1021,15 @@
                 let list = self.workers.iter().map(|w| w.rig.clone()).collect();
                 core.on_list(self.cloud_up.then_some(list), now);
             }
+            Action::Archived(jobs) => {
+                for job in jobs.iter().filter(|_| reachable) {
+                    let record = self.state.value(&past_key(job));
+                    let record = record.and_then(|v| serde_json::from_value::<JobRecord>(v).ok());
+                    if let Some(record) = record {
+                        core.on_archived(job, record.st);
+                    }
+                }
+            }
             Action::Rent(r) => {
                 if !self.cloud_up {
                     core.on_rented(&r, None, false, now);
@@ -927,7 +1068,7 @@
             (Mood::Slow(_), _) => Mood::Good,
             (mood, _) => mood,
         };
-        self.check_size(&txn);
+        self.check_size(i, &txn);
         let outcome = match mood {
             Mood::Good => self.state.commit(&txn),
             Mood::LosesAnswers => {
@@ -945,13 +1086,14 @@
     }
 
     /// What the service would call malformed would be sent again and again.
-    fn check_size(&mut self, txn: &Txn) {
-        let s = &self.settings.platform.settings.state;
-        let value = |c: &Change| match c {
-            Change::Put { v, .. } => v.size(),
-            Change::Drop { .. } => 0,
+    fn check_size(&mut self, i: usize, txn: &Txn) {
+        let settings = match self.old[i] {
+            true => &self.old_settings,
+            false => &self.settings,
         };
-        let largest = txn.then.iter().map(value).max().unwrap_or(0);
+        let s = &settings.platform.settings.state;
+        let largest = txn.then.iter().map(Change::value_bytes).max();
+        let largest = largest.unwrap_or(0);
         let all = serde_json::to_string(txn).expect("plain data").len();
         if largest as f64 > s.value_kb * 1024.0
             || txn.then.len() > s.txn_ops
@@ -1128,6 +1270,11 @@
                             .push(format!("{leg} starts after its job is done"));
                     }
                     self.check_place(at, job);
+                    let named = self.awaits.get(job).into_iter().flatten();
+                    if let Some(early) = named.clone().find(|a| !self.is_done(a)) {
+                        let what = format!("too_early: {leg} starts before {early} is done");
+                        self.broken.push(what);
+                    }
                     self.starts.push((self.now, leg, rig));
                 }
                 Order::Stop { leg, attempt, .. } => {
@@ -1180,7 +1327,8 @@
         for w in &self.workers {
             for t in w.tasks.iter().filter(|t| t.ended.is_none()) {
                 let job = job_of(&t.leg);
-                if let Some(at) = self.cancelled.get(job)
+                let cancelled = self.cancelled.get(job).copied();
+                if let Some(at) = cancelled.or_else(|| self.orphaned_since(job))
                     && self.now > at + cancel_ms
                 {
                     let late = self.now - at;
