Compatibility fixtures of the version in production; stories of the rolling upgrade

The fixtures were written by the version that production names. Stories: both versions side by side, an old leader that is back, blocks and jobs that were written larger, limits that fall, chance troubles with chains.

--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -106,3 +106,30 @@
         assert!(e.contains(says) && !e.contains('\n'), "{e}");
     }
 }
+
+#[test]
+fn writes_keep_to_the_smaller_of_the_present_and_the_coming_limits() {
+    let with = |next: &str| {
+        let text = PLATFORM.replace("txn_ops = 12\n", &format!("txn_ops = 12\n{next}"));
+        Platform::parse(&text).map(|p| p.settings.state)
+    };
+    let limits = |s: &StateLimits| (s.rps, s.write_rps, s.value_kb, s.txn_ops);
+    let now = with("").expect("good");
+    assert_eq!(limits(&now), (150.0, 25.0, 4.0, 12));
+    let none = with("[settings.state.next]\nsomething_new = 1\n").expect("good");
+    assert_eq!(limits(&none), limits(&now));
+    let lower = "[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 18.0\n";
+    assert_eq!(limits(&with(lower).expect("good")), (150.0, 18.0, 2.0, 4));
+    let higher = "[settings.state.next]\nvalue_kb = 8.0\ntxn_ops = 40\nrps = 100\n";
+    assert_eq!(limits(&with(higher).expect("good")), (100.0, 25.0, 4.0, 12));
+    for (bad, named) in [
+        ("value_kb = 0.0", "state.next.value_kb"),
+        ("write_rps = -1.0", "state.next.write_rps"),
+        ("rps = inf", "state.next.rps"),
+        ("txn_ops = 3", "state.next.txn_ops"),
+        ("txn_ops = \"many\"", "line"),
+    ] {
+        let error = with(&format!("[settings.state.next]\n{bad}\n")).expect_err(bad);
+        assert!(error.to_string().contains(named), "{error}");
+    }
+}
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -306,7 +306,10 @@
     let second = w.chain(2, w.spec(1), &[&first]);
     w.run(300);
     // With other names, with none, and as an ordinary job.
-    assert_eq!(w.submit_after(1, 2, w.spec(1), &[first.clone()]), None);
+    assert_eq!(
+        w.submit_after(1, 2, w.spec(1), std::slice::from_ref(&first)),
+        None
+    );
     let record = quillbend::jobs::new_record(w.spec(1), w.now);
     let ordinary = quillbend::jobs::accept(&second, &record);
     assert!(matches!(w.state.commit(&ordinary), Outcome::Conflict(_)));
--- /dev/null
+++ b/tests/compatibility.rs
@@ -0,0 +1,321 @@
+//! What the version in production stores and sends is read, and what this version stores and sends
+//! is read by it.
+//!
+//! The fixtures were written by the version in production: every kind of key at the richest value
+//! of a short day, and one message between controllers with every field in use. The shapes below
+//! are a copy of what that version reads.
+
+mod support;
+
+use quillbend::clock::Ms;
+use quillbend::records::*;
+use quillbend::view::View;
+use quillbend::wire::*;
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use support::World;
+
+/// Values and messages as the version in production reads them.
+mod production {
+    use serde::Deserialize;
+    use std::collections::BTreeMap;
+
+    /// Prefixes of the keys that it reads; it passes over all others.
+    pub const READ: [&str; 5] = ["qb/node/", "qb/grant/", "qb/block/", "qb/job/", "qb/load/"];
+
+    #[derive(Deserialize)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Status {
+        Pending,
+        Running,
+        Done,
+        Withdrawn,
+    }
+
+    #[derive(Deserialize)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Shape {
+        Batch,
+    }
+
+    #[derive(Deserialize)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Urgency {
+        Critical,
+        Urgent,
+        Normal,
+        BestEffort,
+    }
+
+    #[derive(Deserialize)]
+    #[serde(rename_all = "camelCase")]
+    #[allow(dead_code)]
+    pub struct JobSpec {
+        pub route: String,
+        pub crew: String,
+        pub shape: Shape,
+        pub urgency: Urgency,
+        pub legs: u32,
+        pub vcpus: f64,
+        pub gpus: f64,
+        pub ram_gb: f64,
+        pub kit: String,
+        pub size_gb: f64,
+        #[serde(default)]
+        pub frames: Option<Vec<String>>,
+        #[serde(default)]
+        pub yard: Option<String>,
+        pub same_place: bool,
+        pub spread: bool,
+        pub loaners: bool,
+        pub ride_s: f64,
+        pub waypoint_s: f64,
+        pub stow_s: f64,
+        #[serde(default)]
+        pub due_s: Option<f64>,
+    }
+
+    #[derive(Deserialize)]
+    #[allow(dead_code)]
+    pub struct Job {
+        pub s: JobSpec,
+        pub st: Status,
+        pub d: String,
+        pub t: u64,
+    }
+
+    #[derive(Deserialize)]
+    #[allow(dead_code)]
+    pub struct Owner {
+        pub h: String,
+        pub b: u64,
+    }
+
+    #[derive(Deserialize)]
+    #[allow(dead_code)]
+    pub struct Node {
+        pub b: u64,
+        pub l: u64,
+    }
+
+    #[derive(Deserialize)]
+    #[allow(dead_code)]
+    pub struct Load {
+        pub n: usize,
+        pub s: f64,
+        pub m: BTreeMap<String, f64>,
+    }
+
+    #[derive(Deserialize)]
+    #[allow(dead_code)]
+    pub struct Block {
+        #[serde(default)]
+        pub k: Vec<(String, String, bool)>,
+        #[serde(default)]
+        pub j: String,
+        #[serde(default)]
+        pub a: u64,
+        #[serde(default)]
+        pub m: String,
+        #[serde(default)]
+        pub d: String,
+    }
+
+    #[derive(Deserialize)]
+    #[allow(dead_code)]
+    pub struct PeerNews {
+        pub host: String,
+        pub boot: u64,
+        pub state_ok: bool,
+        pub short: bool,
+        pub heard: Vec<(String, u64)>,
+        pub fleet: Option<quillbend::wire::FleetNews>,
+        pub strays: Vec<quillbend::wire::Stray>,
+        pub agents: Vec<quillbend::wire::Agent>,
+        pub ratios: Vec<(String, f64)>,
+        pub fails: Vec<(String, u32, u64)>,
+        #[serde(default)]
+        pub withdrawn: Vec<String>,
+        #[serde(default)]
+        pub grants: Vec<(u32, u64, String)>,
+    }
+}
+
+fn stored() -> BTreeMap<String, Value> {
+    serde_json::from_str(include_str!("fixtures/production_stored.json")).expect("json")
+}
+
+fn peer_news() -> Vec<u8> {
+    let hex = include_str!("fixtures/production_peer_news.hex").trim();
+    let byte = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16).expect("hex");
+    (0..hex.len()).step_by(2).map(byte).collect()
+}
+
+/// Whether a value reads as one of the production version's.
+fn reads<T: for<'de> Deserialize<'de>>(key: &str, value: &Value) {
+    if let Err(e) = serde_json::from_value::<T>(value.clone()) {
+        panic!("{key}: {e}: {value}");
+    }
+}
+
+/// Reads a stored value as the version in production does; it passes over keys that it does not
+/// know.
+fn read_as_production(key: &str, value: &Value) {
+    match key {
+        "qb/lead" => reads::<production::Owner>(key, value),
+        "qb/catalog" => reads::<Vec<Frame>>(key, value),
+        _ if key.starts_with("qb/node/") => reads::<production::Node>(key, value),
+        _ if key.starts_with("qb/grant/") => reads::<production::Owner>(key, value),
+        _ if key.starts_with("qb/block/") => reads::<production::Block>(key, value),
+        _ if key.starts_with("qb/load/") => reads::<production::Load>(key, value),
+        _ if key.starts_with("qb/job/") || key.starts_with("past/") => {
+            reads::<production::Job>(key, value);
+        }
+        _ => {}
+    }
+}
+
+#[test]
+fn every_value_that_production_stores_is_read_whole() {
+    let stored = stored();
+    let mut kinds: Vec<&str> = stored
+        .keys()
+        .filter_map(|k| k.rsplit_once('/'))
+        .map(|k| k.0)
+        .collect();
+    kinds.dedup();
+    let expected = [
+        "past", "qb/block", "qb", "qb/grant", "qb/job", "qb", "qb/load", "qb/node",
+    ];
+    assert_eq!(kinds, expected, "a kind of key is missing");
+    let items = stored.iter().enumerate().map(|(n, (k, v))| Item {
+        k: k.clone(),
+        v: Json::of(v),
+        stamp: n as u64 + 1,
+    });
+    let mut view = View::default();
+    view.load(items.collect(), 100);
+    assert!(view.lead.is_some());
+    assert_eq!(view.catalog.as_ref().map(Vec::len), Some(2));
+    assert_eq!(
+        (view.nodes.len(), view.grants.len(), view.blocks.len()),
+        (3, 3, 3)
+    );
+    assert!(
+        view.nodes.values().all(|n| n.format == 0),
+        "it does not say its format"
+    );
+    assert_eq!(
+        (view.jobs.len(), view.machines.len(), view.loads.len()),
+        (3, 6, 3)
+    );
+    let job = |name| &view.jobs[&view.names.jobs.get(name).expect("known")];
+    let urgent = job("wk-000412");
+    assert_eq!((urgent.status, urgent.done.len()), (JobStatus::Done, 12));
+    assert_eq!(
+        (urgent.spec.urgency, urgent.spec.due_s),
+        (Urgency::Urgent, Some(90.0))
+    );
+    assert_eq!(
+        (urgent.spec.frames.as_deref(), urgent.zone.is_some()),
+        (Some(&["small".to_owned()][..]), true)
+    );
+    assert_eq!(job("wk-000007").status, JobStatus::Withdrawn);
+    let open = job("wk-000398");
+    assert_eq!(
+        (open.status, open.done.len(), open.ready_ms),
+        (JobStatus::Pending, 4, None)
+    );
+    let bound = view.bound_len(view.names.jobs.get("wk-000398").expect("known"));
+    assert_eq!(bound, 5);
+    // What is read and written again says the same.
+    for (key, value) in &stored {
+        let again = match key.as_str() {
+            _ if key.starts_with("qb/block/") => read_again::<BlockRecord>(value),
+            _ if key.starts_with("qb/job/") || key.starts_with("past/") => {
+                read_again::<JobRecord>(value)
+            }
+            _ => continue,
+        };
+        assert_eq!(&again, value, "{key}");
+    }
+}
+
+fn read_again<T: for<'de> Deserialize<'de> + serde::Serialize>(value: &Value) -> Value {
+    let record: T = serde_json::from_value(value.clone()).expect("read");
+    serde_json::to_value(record).expect("written")
+}
+
+#[test]
+fn every_field_of_productions_messages_is_read() {
+    let news: PeerNews = rmp_serde::from_slice(&peer_news()).expect("a message");
+    assert_eq!((news.host.as_str(), news.boot, news.format), ("n1", 77, 0));
+    assert!(news.state_ok && !news.short);
+    let fleet = news.fleet.expect("machines");
+    assert_eq!(
+        (fleet.machines[0].rig.as_str(), fleet.machines[0].load),
+        ("m-000001", 1.5)
+    );
+    assert_eq!(fleet.running, [("wk-000412".to_owned(), 3)]);
+    assert_eq!(news.strays[0].for_ms, 900);
+    assert!(matches!(
+        &news.agents[..],
+        [Agent::Hint { .. }, Agent::Steal { hops: 1, .. }]
+    ));
+    assert_eq!(news.fails, [("wk-000398".to_owned(), 2, 300)]);
+    assert_eq!(news.grants, [(3, 41, "n2".to_owned())]);
+    assert_eq!(news.withdrawn, ["wk-000007"]);
+}
+
+#[test]
+fn what_this_version_stores_and_sends_is_read_by_production() {
+    let mut w = World::settled(1, 3, 6);
+    w.run_ms = 3000;
+    let first = w.submit(1, w.spec(9));
+    let mut spec = w.spec(3);
+    (spec.due_s, spec.yard) = (Some(60.0), Some("north".into()));
+    let second = w.chain(2, spec, &[&first]);
+    let third = w.chain(3, w.spec(1), &[&second]);
+    let fourth = w.chain(4, w.spec(1), &[&third]);
+    let mut waited = false;
+    for step in 0..400 {
+        w.run(100);
+        if step == 60 {
+            w.cancel(&fourth);
+        }
+        for prefix in ["qb/", "past/"] {
+            for item in w.state.list(prefix).0 {
+                let value: Value = item.v.read().expect("json");
+                read_as_production(&item.k, &value);
+                // A job that waits is nowhere where production would bind it.
+                waited |= item.k.starts_with("qb/wait/");
+                let passed_over = ["qb/wait/", "qb/format"];
+                if passed_over.iter().any(|p| item.k.starts_with(p)) {
+                    assert!(!production::READ.iter().any(|p| item.k.starts_with(p)));
+                }
+            }
+        }
+        for i in 0..3 {
+            let clock: Ms = w.clock(i);
+            let node = w.nodes[i].as_mut().expect("alive");
+            let news = node.core.peer_news(true, clock);
+            let body = rmp_serde::to_vec_named(&news).expect("written");
+            rmp_serde::from_slice::<production::PeerNews>(&body).expect("read by production");
+        }
+    }
+    assert!(waited && w.is_done(&third), "all kinds of keys were there");
+    w.assert_kept();
+}
+
+#[test]
+fn a_job_that_was_ready_is_an_ordinary_one_without_what_production_drops() {
+    // Production writes a job's value again without fields that it does not know.
+    let mut record = quillbend::jobs::new_record(World::settled(2, 3, 1).spec(2), 5000);
+    record.ready_ms = Some(9000);
+    let mut value = serde_json::to_value(&record).expect("json");
+    reads::<production::Job>("qb/job/wk-000001", &value);
+    value.as_object_mut().expect("an object").remove("r");
+    let read: JobRecord = serde_json::from_value(value).expect("read");
+    assert_eq!((read.ready_ms, read.t), (None, 5000));
+}
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,356 @@
+//! Stories of a rolling upgrade: both versions serve side by side and on each other's data, and the
+//! state service lowers its limits afterwards. The version in production is played by this code
+//! held to the formats and the behaviour of that one; the bench plays the real one.
+
+mod support;
+
+use quillbend::core::Outcome;
+use quillbend::view::{FORMAT, job_key, past_key};
+use quillbend::wire::{JobStatus, Urgency};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use support::{Mood, World};
+
+/// Ends a controller; it comes back with the new version.
+fn upgrade(w: &mut World, i: usize, away_ms: u64) {
+    w.crash(i);
+    w.run(away_ms);
+    w.old[i] = false;
+    w.start(i);
+}
+
+/// The state service has the limits that the settings announced.
+fn lower_limits(w: &mut World) {
+    let limits = &w.settings.platform.settings.state;
+    w.state.limits = Some(((limits.value_kb * 1024.0) as usize, limits.txn_ops));
+}
+
+/// A world in production that has settled.
+fn in_production(seed: u64, nodes: usize, machines: usize) -> World {
+    let mut w = World::in_production(seed, nodes, machines);
+    w.until(5000, "a leader", |w| w.leader().is_some());
+    w.until(8000, "every machine is held", |w| {
+        w.workers.iter().all(|m| w.holder(&m.rig.name).is_some())
+    });
+    w
+}
+
+#[test]
+fn chained_jobs_are_refused_while_an_old_version_is_alive_and_taken_from_then_on() {
+    let mut w = in_production(1, 3, 6);
+    w.run_ms = 60_000;
+    let first = w.submit(1, w.spec(2));
+    w.run(500);
+    for i in 0..3 {
+        assert_eq!(
+            w.submit_after(i, 2, w.spec(1), std::slice::from_ref(&first)),
+            None
+        );
+        upgrade(&mut w, i, 1500);
+        w.run(3000);
+    }
+    w.until(8000, "the format is recorded", |w| {
+        w.state.value(FORMAT).is_some()
+    });
+    w.run(300);
+    let second = w.chain(2, w.spec(1), &[&first]);
+    // One that is back in the old version for a moment does not turn that back.
+    w.crash(1);
+    w.old[1] = true;
+    w.start(1);
+    w.run(4000);
+    assert!(
+        w.submit_after(0, 3, w.spec(1), std::slice::from_ref(&second))
+            .is_some()
+    );
+    upgrade(&mut w, 1, 500);
+    w.all_end_well(&[first, second, "wk-000003".into()]);
+}
+
+#[test]
+fn a_new_service_takes_chained_jobs_at_once_and_one_that_stays_away_holds_nothing_up() {
+    let mut w = World::settled(2, 3, 4);
+    w.crash(2);
+    let first = w.submit(1, w.spec(1));
+    let before = w.now;
+    w.chain(2, w.spec(1), &[&first]);
+    assert!(w.now - before < 1000);
+    // Of an upgrade one controller never comes back.
+    let mut w = in_production(3, 3, 4);
+    w.crash(2);
+    for i in 0..2 {
+        upgrade(&mut w, i, 1000);
+    }
+    w.run(2000);
+    let first = w.submit(1, w.spec(1));
+    w.run(300);
+    assert_eq!(
+        w.submit_after(0, 2, w.spec(1), &[first]),
+        None,
+        "it may come back old"
+    );
+    w.until(120_000, "the format is recorded", |w| {
+        w.state.value(FORMAT).is_some()
+    });
+    w.assert_kept();
+}
+
+#[test]
+fn an_old_leader_that_is_back_starts_no_waiting_job_and_what_waits_goes_on_after_it() {
+    let mut w = World::in_production(4, 3, 6);
+    w.old = vec![false; 3];
+    (0..3).for_each(|i| w.start(i));
+    w.run(8000);
+    w.run_ms = 3000;
+    let first = w.submit(1, w.spec(1));
+    let second = w.chain(2, w.spec(2), &[&first]);
+    // All are back in the old version, which sees nothing of the waiting job.
+    for i in 0..3 {
+        w.crash(i);
+        w.old[i] = true;
+        w.start(i);
+    }
+    w.until(60_000, "the first is done", |w| w.is_done(&first));
+    w.run(20_000);
+    assert_eq!(w.starts_of(&second), 0);
+    for i in 0..3 {
+        upgrade(&mut w, i, 500);
+    }
+    w.until(60_000, "the second is done", |w| w.is_done(&second));
+    w.assert_kept();
+}
+
+#[test]
+fn work_goes_on_through_a_rolling_upgrade_and_what_runs_is_not_lost() {
+    for seed in 5..8 {
+        let nodes = [3, 5][seed as usize % 2];
+        let mut w = in_production(seed, nodes, 8);
+        w.run(2000);
+        let long = w.fill(60_000, 10);
+        w.run_ms = 6000;
+        let mut jobs = vec![long];
+        for i in 0..nodes {
+            let mut red = w.spec(5);
+            red.crew = "red".into();
+            jobs.push(w.submit(10 + i as u32, red));
+            upgrade(&mut w, i, 2000);
+            w.run(3000);
+        }
+        lower_limits(&mut w);
+        w.all_end_well(&jobs);
+        assert_eq!(
+            w.starts.len(),
+            10 + 5 * nodes,
+            "work was lost or begun twice"
+        );
+        assert_eq!(w.state.too_large, 0);
+    }
+}
+
+#[test]
+fn blocks_that_an_old_version_wrote_larger_are_divided_and_their_tasks_run_on() {
+    for seed in [8, 9] {
+        // Many small tasks of as many jobs make large values.
+        let mut w = in_production(seed, 3, 30);
+        w.cloud_up = false;
+        w.run_ms = 120_000;
+        let mut jobs = Vec::new();
+        for n in 1..=460 {
+            let mut spec = w.spec(1);
+            (spec.crew, spec.vcpus, spec.ram_gb, spec.ride_s) = ("guest".into(), 0.25, 0.1, 120.0);
+            jobs.push(w.submit(n, spec));
+        }
+        w.until(60_000, "all run", |w| w.running() == 460);
+        let most = w.settings.value_bytes();
+        let largest = |w: &World| {
+            let blocks = w.state.list("qb/block/").0;
+            blocks.iter().map(|b| b.v.size()).max().unwrap_or(0)
+        };
+        assert!(
+            largest(&w) > most,
+            "{} bytes: nothing to divide",
+            largest(&w)
+        );
+        let running = w.running();
+        // Only the holders are new at first: an old leader grants what they divided.
+        let leader = w.leader().expect("leads");
+        for i in (0..3).filter(|i| *i != leader) {
+            upgrade(&mut w, i, 800);
+        }
+        w.run(4000);
+        upgrade(&mut w, leader, 800);
+        w.until(15_000, "all fit", |w| largest(w) <= most);
+        lower_limits(&mut w);
+        assert!(
+            w.running() + 60 > running,
+            "{} of {running} run on",
+            w.running()
+        );
+        let starts = w.starts.len();
+        let called_off = jobs.remove(0);
+        if !w.is_done(&called_off) {
+            w.cancel(&called_off);
+        }
+        w.until(300_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
+        assert!(
+            w.starts.len() <= 60 * 9,
+            "{starts}, {}: begun twice",
+            w.starts.len()
+        );
+        assert_eq!(w.state.too_large, 0);
+        w.assert_kept();
+    }
+}
+
+#[test]
+fn jobs_whose_values_are_larger_than_the_new_limit_end_and_are_cancelled() {
+    for cancelled in [false, true] {
+        let mut w = in_production(10, 3, 4);
+        w.run_ms = 3000;
+        let mut spec = w.spec(4);
+        let frames = (0..120).map(|n| format!("a-type-that-is-no-longer-sold-{n}"));
+        spec.frames = Some(frames.chain(["small".to_owned()]).collect());
+        let job = w.submit(1, spec);
+        assert!(
+            w.state
+                .value(&job_key(&job))
+                .expect("stored")
+                .to_string()
+                .len()
+                > 3000
+        );
+        for i in 0..3 {
+            upgrade(&mut w, i, 300);
+        }
+        lower_limits(&mut w);
+        w.run(1500);
+        if cancelled {
+            assert!(matches!(w.cancel(&job), Outcome::Done(_)));
+        }
+        let over = [JobStatus::Done, JobStatus::Withdrawn][usize::from(cancelled)];
+        w.until(60_000, "over", |w| {
+            w.job(&job).is_some_and(|j| j.st == over)
+        });
+        // Blocks list what was done on them until they are written again, at the latest when their
+        // idle machines leave.
+        let archived = |w: &World| w.state.value(&past_key(&job)).is_some();
+        w.until(120_000, "archived", archived);
+        w.run(100);
+        assert_eq!(w.ask(0, &job), Some(over));
+        w.assert_kept();
+    }
+}
+
+#[test]
+fn no_transaction_is_larger_than_the_limits_to_come_whatever_happens() {
+    // The limits hold from the start; every trouble and every kind of transaction meets them.
+    for seed in 11..15 {
+        let mut w = World::in_production(seed, 3, 10);
+        w.old = vec![false; 3];
+        (0..3).for_each(|i| w.start(i));
+        lower_limits(&mut w);
+        w.run(5000);
+        let mut luck = SmallRng::seed_from_u64(seed);
+        w.run_ms = 5000;
+        let mut jobs = Vec::new();
+        for n in 0..40 {
+            if w.nodes.iter().all(Option::is_none) {
+                w.heal();
+            }
+            let mut spec = w.spec(luck.random_range(1..30));
+            spec.crew = ["blue", "red", "guest"][n as usize % 3].into();
+            let job = match jobs.last().filter(|_| luck.random_bool(0.4)) {
+                Some(last) => {
+                    let last: String = String::clone(last);
+                    w.chain(n + 1, spec, &[&last])
+                }
+                None => w.submit(n + 1, spec),
+            };
+            jobs.push(job);
+            let at = luck.random_range(0..3);
+            match luck.random_range(0..8) {
+                0 => w.crash(at),
+                1 => w.links[at].state = Mood::Moody,
+                2 => w.heal(),
+                _ => {}
+            }
+            w.run(luck.random_range(200..2500));
+        }
+        w.all_end_well(&jobs);
+        assert_eq!(
+            w.state.too_large, 0,
+            "the service refused what was too large"
+        );
+    }
+}
+
+#[test]
+fn chance_troubles_during_an_upgrade_with_chains_keep_the_rules() {
+    for seed in 20..28 {
+        let nodes = [3, 5][seed as usize % 2];
+        let mut w = in_production(seed, nodes, 10);
+        let mut luck = SmallRng::seed_from_u64(seed);
+        w.run_ms = 6000;
+        let mut jobs: Vec<String> = Vec::new();
+        let mut over: Vec<String> = Vec::new();
+        let mut to_upgrade: Vec<usize> = (0..nodes).collect();
+        for n in 0..40u32 {
+            if n % 6 == 5
+                && let Some(i) = to_upgrade.pop()
+            {
+                upgrade(&mut w, i, luck.random_range(200..4000));
+            }
+            if to_upgrade.is_empty() && n == 36 {
+                lower_limits(&mut w);
+            }
+            let mut spec = w.spec(luck.random_range(1..12));
+            if luck.random_bool(0.3) {
+                spec.urgency = Urgency::Urgent;
+            }
+            spec.crew = ["blue", "red"][n as usize % 2].into();
+            let named: Vec<String> = (0..luck.random_range(0..3))
+                .filter_map(|_| jobs.get(luck.random_range(0..jobs.len().max(1))).cloned())
+                .collect();
+            let at = luck.random_range(0..nodes);
+            let taken = match named.is_empty() {
+                true => Some(w.submit(n + 1, spec)),
+                false => w.submit_after(at, n + 1, spec, &named),
+            };
+            if let Some(job) = taken {
+                jobs.push(job);
+            }
+            if luck.random_bool(0.15)
+                && let Some(job) = jobs.get(luck.random_range(0..jobs.len())).cloned()
+                && !w.is_done(&job)
+            {
+                w.cancel(&job);
+                over.push(job);
+            }
+            let at = luck.random_range(0..nodes);
+            match luck.random_range(0..10) {
+                // One that dies before its turn comes back old.
+                0 => w.crash(at),
+                1 => w.links[at].state = Mood::Moody,
+                2 => w.links[at].peers = false,
+                3 => w.freeze(at, luck.random_range(500..5000)),
+                4 | 5 => w.heal(),
+                _ => {}
+            }
+            let asked = jobs.clone();
+            w.run_asking(luck.random_range(500..2500), &asked);
+        }
+        w.heal();
+        for i in to_upgrade {
+            upgrade(&mut w, i, 500);
+        }
+        lower_limits(&mut w);
+        let ended = |w: &World, j: &String| w.job(j).is_some_and(|r| r.st != JobStatus::Pending);
+        w.until(300_000, "all are over", |w| {
+            jobs.iter().all(|j| ended(w, j))
+        });
+        let asked = jobs.clone();
+        w.run_asking(5000, &asked);
+        assert_eq!(w.state.too_large, 0);
+        w.assert_kept();
+    }
+}
