--- a/src/core/commits.rs
+++ b/src/core/commits.rs
@@ -1,16 +1,8 @@
 //! Transactions under way: sent, settled, paced.
 
+use super::pacing::Turn;
 use super::*;
 
-/// Part of the state service's changes that the leader's edits of blocks may take.
-pub(crate) const EDITS: f64 = 0.45;
-/// Part that all holders' endings together may take. What is left is for submissions,
-/// cancellations, grants, finished jobs and totals.
-pub(crate) const ENDINGS: f64 = 0.42;
-
-/// For so long gathered writes go slowly after a user had to be refused, ms.
-const SHORT_MS: u64 = 1500;
-
 /// Pause after a write that the service called malformed, ms.
 const MALFORMED_MS: u64 = 3000;
 
@@ -51,10 +43,19 @@
     /// Whether a transaction of this kind may be planned now: none is under way, its turn has
     /// come, and the replica shows why the last one failed.
     pub(crate) fn idle(&self, op: Op, now: Ms) -> bool {
+        self.is_free(op) && self.op_after.get(&op).is_none_or(|turn| now >= turn.due)
+    }
+
+    /// The same for what others wait for, which has not to wait for the regular turn.
+    pub(crate) fn idle_early(&self, op: Op, now: Ms) -> bool {
+        self.is_free(op) && self.op_after.get(&op).is_none_or(|turn| now >= turn.early)
+    }
+
+    /// Whether no transaction of this kind is under way and the replica shows why the last one
+    /// failed.
+    fn is_free(&self, op: Op) -> bool {
         let waits = self.op_wait.get(&op).copied().unwrap_or(0);
-        !self.ops.contains_key(&op)
-            && self.view.ledger >= self.wait_ledger.max(waits)
-            && self.op_after.get(&op).is_none_or(|&t| now >= t)
+        !self.ops.contains_key(&op) && self.view.ledger >= self.wait_ledger.max(waits)
     }
 
     /// Whether this controller has a write of a block under way: a second one would only make
@@ -164,7 +165,8 @@
                 // failed guard.
                 self.unseen.push((ledger, flight.payload));
                 // Somebody else was faster; the next try need not wait for its turn.
-                self.op_after.insert(op, now.plus(jitter / 4));
+                let again = Turn::at(now.plus(jitter / 4));
+                self.op_after.insert(op, again);
                 self.after_view(now);
             }
             Outcome::NoLease | Outcome::Refused | Outcome::Malformed => {
@@ -181,47 +183,13 @@
                     Outcome::Malformed => MALFORMED_MS,
                     _ => 200,
                 };
-                self.op_after.insert(op, now.plus(pause + jitter));
+                let again = Turn::at(now.plus(pause + jitter));
+                self.op_after.insert(op, again);
             }
             Outcome::Unknown => {}
         }
     }
 
-    /// Spreads writes over time, so that all controllers together stay within the budget: each
-    /// block has its turn, and what comes in between is gathered for it.
-    fn pace(&mut self, op: Op, writes: usize, now: Ms) {
-        let share = match op {
-            Op::Ends(_) => ENDINGS,
-            Op::Edit(_) => EDITS,
-            _ => return,
-        };
-        let rate = self.settings.platform.settings.state.write_rps * share;
-        // What users ask for comes before what is gathered for them.
-        let part = if self.users_refused(now) { 0.4 } else { 1.0 };
-        let turns = (self.view.blocks.len() * writes) as f64 / part;
-        let least = self.settings.options.flush_ms as u64;
-        let ms = (turns / rate * 1000.0) as u64;
-        self.op_after.insert(op, now.plus(ms.max(least)));
-        if self.op_after.len() > 1000 {
-            self.op_after.retain(|_, t| now < *t);
-            self.op_wait.retain(|_, l| self.view.ledger < *l);
-        }
-    }
-
-    /// A user's write was refused because the budget of changes was used up.
-    pub fn on_user_refused(&mut self, now: Ms) {
-        self.user_refused = Some(now);
-    }
-
-    /// Whether some controller had to refuse a user a moment ago, as far as is known here.
-    pub(crate) fn users_refused(&self, now: Ms) -> bool {
-        let mine = self.user_refused.is_some_and(|t| now.since(t) < SHORT_MS);
-        let theirs = self.peers.values();
-        mine || theirs
-            .filter_map(|p| p.short_at)
-            .any(|t| now.since(t) < SHORT_MS)
-    }
-
     fn edit_done(&mut self, id: BlockId, payload: &Payload) {
         self.counters.bound += payload.binds.len() as u64;
         for &ix in &payload.placed {
--- a/src/core/endings.rs
+++ b/src/core/endings.rs
@@ -10,6 +10,8 @@
 const FLUSH_ABOVE: f64 = 0.6;
 /// Jobs whose list is moved at a time: each costs a change, and frees the list in every block.
 const FLUSHED: usize = 3;
+/// So many tasks of a job are its last ones.
+const LAST_TASKS: u32 = 4;
 /// Most bytes of values in one transaction: the service takes 64 KiB altogether (PROTOCOL, commit),
 /// keys and conditions included.
 pub(crate) const TXN_BYTES: usize = 56 * 1024;
@@ -81,7 +83,8 @@
             .collect();
         for id in blocks {
             let op = Op::Ends(id);
-            if !self.idle(op, now) || self.block_busy(id) {
+            let due = self.idle(op, now) || (self.idle_early(op, now) && self.ends_chained(id));
+            if !due || self.block_busy(id) {
                 continue;
             }
             if let Some((txn, payload)) = self.plan_ends(id) {
@@ -90,8 +93,23 @@
         }
     }
 
-    /// Plans the write of a block's endings and moves.
-    fn plan_ends(&mut self, id: BlockId) -> Option<(Txn, Payload)> {
+    /// Whether one of the last tasks of a job that others wait for has ended in a block: it is
+    /// recorded at once, for nothing of those others begins before.
+    fn ends_chained(&self, id: BlockId) -> bool {
+        let block = self.view.blocks.get(&id);
+        let machines = block.into_iter().flat_map(|b| &b.machines);
+        let ends = machines.filter_map(|m| self.ends.get(m)).flatten();
+        let done = ends.filter(|(_, end)| *end == End::Done);
+        let mut jobs = done.map(|(entry, _)| entry.task.job);
+        jobs.any(|ix| {
+            let job = self.view.jobs.get(&ix);
+            self.view.dependencies.is_needed(ix)
+                && job.is_some_and(|j| j.spec.legs - j.done.len().min(j.spec.legs) <= LAST_TASKS)
+        })
+    }
+
+    /// A block's content without the tasks that have ended there.
+    fn draft_without_ended(&self, id: BlockId) -> (Draft, Payload) {
         let mut payload = Payload {
             blocks: vec![id],
             ..Payload::default()
@@ -111,11 +129,21 @@
                 draft.note_done(entry.task);
             }
         }
+        (draft, payload)
+    }
+
+    /// Plans the write of a block's endings and moves.
+    fn plan_ends(&mut self, id: BlockId) -> Option<(Txn, Payload)> {
+        let (draft, mut payload) = self.draft_without_ended(id);
+        let block = self.view.blocks.get(&id)?;
+        if self.is_oversized(block)
+            && let Some(split) = self.plan_split(id, &draft, &payload)
+        {
+            return Some(split);
+        }
         let mut drafts = BTreeMap::from([(id, draft)]);
         self.plan_moves(id, &mut drafts, &mut payload);
-        let most = self.settings.value_bytes();
-        let before = self.view.blocks.get(&id).map_or(0, |b| b.bytes);
-        if payload.ends.is_empty() && payload.moves.is_empty() && before <= most {
+        if payload.ends.is_empty() && payload.moves.is_empty() {
             return None;
         }
         let mut records: Vec<(BlockId, BlockRecord, Json)> = Vec::new();
@@ -124,6 +152,7 @@
             let value = Json::of(&record);
             records.push((id, record, value));
         }
+        let most = self.settings.value_bytes();
         let total: usize = records.iter().map(|r| r.2.size()).sum();
         let fills = |r: &(BlockId, BlockRecord, Json)| r.2.size() > most * 9 / 10;
         if records.len() > 1 && (total > TXN_BYTES || records.iter().any(fills)) {
@@ -145,8 +174,7 @@
             }
             // A value that the service would refuse for ever is not sent: the block is divided.
             if value.size() > most {
-                let draft = drafts.remove(&id)?;
-                return self.plan_split(id, draft, payload);
+                return self.plan_split(id, drafts.get(&id)?, &payload);
             }
         }
         let mut txn = Txn::default();
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -171,6 +171,7 @@
 
     /// A watch opened at `sent` answered.
     pub fn on_news(&mut self, list: NewsList, sent: Ms, now: Ms) {
+        self.speed.note(list.news.len());
         self.view.apply_news(list.news, list.ledger);
         self.confirmed = self.confirmed.max(Some(sent));
         self.after_view(now);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod endings;
 mod formats;
 mod lease;
+pub(crate) mod pacing;
 mod peers;
 mod reports;
 mod splitting;
@@ -320,7 +321,9 @@
     /// answer, until the replica is at the revision.
     unseen: Vec<(u64, commits::Payload)>,
     ops: HashMap<Op, commits::InFlight>,
-    op_after: HashMap<Op, Ms>,
+    op_after: HashMap<Op, pacing::Turn>,
+    /// How fast the turns of gathered writes follow one another.
+    speed: pacing::Speed,
     /// Revision that the replica must reach before the next one of a kind is planned.
     op_wait: HashMap<Op, u64>,
     /// When the state service last refused a write for its budget.
@@ -418,6 +421,7 @@
             unseen: Vec::new(),
             ops: HashMap::new(),
             op_after: HashMap::new(),
+            speed: pacing::Speed::default(),
             op_wait: HashMap::new(),
             refused_at: None,
             user_refused: None,
@@ -515,6 +519,7 @@
             self.next_catalog = now.plus(wait);
             out.push(Action::Catalog);
         }
+        self.adjust_speed(now);
         self.tick_lease(now, &mut out);
         self.send_again(now, &mut out);
         if self.view.synced {
--- /dev/null
+++ b/src/core/pacing.rs
@@ -0,0 +1,163 @@
+//! Pace of gathered writes: each block has its turn, so that all controllers together stay within
+//! the state service's budget of changes.
+
+use super::*;
+
+/// Part of the state service's changes that the leader's edits of blocks may take.
+pub(crate) const EDITS: f64 = 0.45;
+/// Part that all holders' endings together may take. What is left is for submissions,
+/// cancellations, grants, finished jobs and totals.
+pub(crate) const ENDINGS: f64 = 0.42;
+
+/// For so long gathered writes go slowly after a user had to be refused, ms.
+const SHORT_MS: u64 = 1500;
+/// How much slower they go then.
+const SHORT_FACTOR: f64 = 0.4;
+
+/// Interval at which the use of the budget is looked at, ms.
+const LOOK_MS: u64 = 1000;
+/// Weight of the latest interval in the estimate of the use.
+const LATEST: f64 = 0.3;
+/// Below this part of the budget turns become shorter, and above the other longer.
+const LITTLE_USED: f64 = 0.75;
+const MUCH_USED: f64 = 0.88;
+/// Shortest turns, as a part of those that would come if every block were written in each.
+const MOST_SPEED: f64 = 3.0;
+
+/// When a kind of write may be planned again.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Turn {
+    /// The regular turn.
+    pub due: Ms,
+    /// For what others wait for.
+    pub early: Ms,
+}
+
+impl Turn {
+    /// A turn before which nothing is planned at all.
+    pub fn at(due: Ms) -> Self {
+        Self { due, early: due }
+    }
+}
+
+/// How fast turns follow one another, by the part of the budget that is really used.
+///
+/// A turn is as long as it has to be if every block were written in each. Most are not, and half of
+/// the budget lay idle while endings and bindings waited for their turn.
+#[derive(Debug, Clone)]
+pub(crate) struct Speed {
+    began: Ms,
+    seen: u64,
+    /// Changes a second of all controllers, as the watch shows them.
+    used: f64,
+    factor: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self {
+            began: Ms(0),
+            seen: 0,
+            used: 0.0,
+            factor: 1.0,
+        }
+    }
+}
+
+impl Speed {
+    /// The watch showed so many changes.
+    pub(crate) fn note(&mut self, changes: usize) {
+        self.seen += changes as u64;
+    }
+
+    /// Looks at the use of a budget of so many changes a second.
+    pub(crate) fn adjust(&mut self, budget: f64, refused: bool, now: Ms) {
+        let ms = now.since(self.began);
+        if ms < LOOK_MS {
+            return;
+        }
+        let latest = self.seen as f64 * 1000.0 / ms as f64;
+        self.used += (latest - self.used) * LATEST;
+        (self.began, self.seen) = (now, 0);
+        let part = self.used / budget;
+        let step = match (refused, part) {
+            (true, _) => 0.8,
+            (false, part) if part > MUCH_USED => 0.95,
+            (false, part) if part < LITTLE_USED => 1.08,
+            _ => 1.0,
+        };
+        self.factor = (self.factor * step).clamp(1.0, MOST_SPEED);
+    }
+
+    /// How many times faster than the slowest turns follow one another.
+    pub(crate) fn factor(&self) -> f64 {
+        self.factor
+    }
+}
+
+impl Core {
+    /// Looks at how much of the budget of changes is used.
+    pub(crate) fn adjust_speed(&mut self, now: Ms) {
+        let budget = self.settings.platform.settings.state.write_rps;
+        let refused =
+            self.users_refused(now) || self.refused_at.is_some_and(|t| now.since(t) < SHORT_MS);
+        self.speed.adjust(budget, refused, now);
+    }
+
+    /// Spreads writes over time: each block has its turn, and what comes in between is gathered for
+    /// it.
+    pub(crate) fn pace(&mut self, op: Op, writes: usize, now: Ms) {
+        let share = match op {
+            Op::Ends(_) => ENDINGS,
+            Op::Edit(_) => EDITS,
+            _ => return,
+        };
+        let least = self.settings.options.flush_ms as u64;
+        // What users ask for comes before what is gathered for them.
+        let part = if self.users_refused(now) {
+            SHORT_FACTOR
+        } else {
+            self.speed.factor()
+        };
+        let ms = self.turn_ms(share) * writes as f64 / part;
+        let turn = Turn {
+            due: now.plus((ms as u64).max(least)),
+            early: now.plus(least),
+        };
+        self.op_after.insert(op, turn);
+        if self.op_after.len() > 1000 {
+            self.op_after.retain(|_, t| now < t.due);
+            self.op_wait.retain(|_, l| self.view.ledger < *l);
+        }
+    }
+
+    /// Length of the slowest turn of all blocks with such a share of the budget, ms.
+    fn turn_ms(&self, share: f64) -> f64 {
+        let rate = self.settings.platform.settings.state.write_rps * share;
+        self.view.blocks.len() as f64 / rate * 1000.0
+    }
+
+    /// Seconds from one turn of a block's endings to the next, and from one of its edits to the
+    /// next, together.
+    pub(crate) fn turns_s(&self) -> f64 {
+        let slowest_ms = self.turn_ms(EDITS) + self.turn_ms(ENDINGS);
+        slowest_ms / self.speed.factor() / 1000.0
+    }
+
+    /// A user's write was refused because the budget of changes was used up.
+    pub fn on_user_refused(&mut self, now: Ms) {
+        self.user_refused = Some(now);
+    }
+
+    /// Whether some controller had to refuse a user a moment ago, as far as is known here.
+    pub(crate) fn users_refused(&self, now: Ms) -> bool {
+        let mine = self.user_refused.is_some_and(|t| now.since(t) < SHORT_MS);
+        let theirs = self.peers.values();
+        mine || theirs
+            .filter_map(|p| p.short_at)
+            .any(|t| now.since(t) < SHORT_MS)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/core/splitting.rs
+++ b/src/core/splitting.rs
@@ -2,11 +2,14 @@
 
 use super::commits::Payload;
 use super::*;
-use crate::view::Draft;
+use crate::view::{Block, Draft};
 
 /// Part of the largest value that a part of a divided block should fill at most: its holder and the
 /// leader need the rest.
 const ROOMY: f64 = 0.6;
+/// A block is divided too when its machines, all of them busy, may be expected to fill this part of
+/// the largest value.
+const CROWDED: f64 = 0.8;
 
 /// Two halves of a block's machines and of its list of done tasks.
 fn halves(draft: Draft) -> (Draft, Draft) {
@@ -33,11 +36,15 @@
 }
 
 impl Core {
-    /// Blocks held here whose values are too large to be written as they are. A version that does
-    /// not know of lower limits to come may have written them.
+    /// Blocks held here that are to be divided: their values are too large to be written as they
+    /// are, or too many machines share one value. A version that does not know of lower limits to
+    /// come may have filled them.
     pub(crate) fn oversized_blocks(&self) -> Vec<BlockId> {
-        let most = self.settings.value_bytes();
-        let blocks = self.view.blocks.iter().filter(|(_, b)| b.bytes > most);
+        let blocks = self
+            .view
+            .blocks
+            .iter()
+            .filter(|(_, b)| self.is_oversized(b));
         let mine = |id: &BlockId| {
             let grant = self.view.grants.get(id);
             grant.is_some_and(|g| g.host == self.me && g.boot == self.boot)
@@ -45,6 +52,25 @@
         blocks.map(|(&id, _)| id).filter(mine).collect()
     }
 
+    /// Whether a block is to be divided.
+    ///
+    /// Guards against machines that stand idle because the value which lists their tasks is full:
+    /// half of Regina's fleet did after its values had to fit into a sixteenth (figures from
+    /// simulated machines).
+    pub(crate) fn is_oversized(&self, block: &Block) -> bool {
+        let most = self.settings.value_bytes();
+        let machines = block.machines.iter();
+        let known = machines.filter_map(|m| self.view.machines.get(m));
+        let expected = self.expected_size(known);
+        let crowded = expected > (most as f64 * CROWDED) as usize;
+        block.bytes > most || (crowded && block.machines.len() > 1)
+    }
+
+    /// Bytes that machines may come to fill in their block's value.
+    fn expected_size<'a>(&self, machines: impl Iterator<Item = &'a Machine>) -> usize {
+        machines.map(|m| self.expected_bytes(m.frame)).sum()
+    }
+
     /// Plans to write a block as several, each with a part of its machines; the new ones are the
     /// leader's to grant. None if even that would not fit: then tasks must end first, which makes
     /// the block smaller.
@@ -56,20 +82,23 @@
     pub(crate) fn plan_split(
         &self,
         id: BlockId,
-        draft: Draft,
-        mut payload: Payload,
+        draft: &Draft,
+        payload: &Payload,
     ) -> Option<(Txn, Payload)> {
         let most = self.settings.value_bytes();
         let roomy = (most as f64 * ROOMY) as usize;
-        let parts = self.divide(&draft, roomy);
-        let Some(parts) = parts.or_else(|| self.divide(&draft, most)) else {
-            warn!(block = id.0, "a block is too large to be divided yet");
+        let parts = self.divide(draft, roomy);
+        let Some(parts) = parts.or_else(|| self.divide(draft, most)) else {
+            debug!(block = id.0, "a block is too large to be divided yet");
             return None;
         };
         let mut txn = Txn::default();
         txn.guards.push(self.guard(&grant_key(id)));
         let ids = std::iter::once(id).chain(self.unused_blocks());
-        payload.blocks.clear();
+        let mut payload = Payload {
+            blocks: Vec::new(),
+            ..payload.clone()
+        };
         for (part, v) in ids.zip(parts) {
             let put = block_key(part);
             txn.guards.push(self.guard(&put));
@@ -99,7 +128,9 @@
                 return None;
             }
             let value = Json::of(&self.view.seal(&draft));
-            if value.size() <= most_bytes {
+            let expected = self.expected_size(draft.machines.values());
+            let crowded = expected > most_bytes && draft.machines.len() > 1;
+            if value.size() <= most_bytes && !crowded {
                 values.push(value);
                 continue;
             }
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -1,10 +1,11 @@
 //! The order of jobs, and new tasks into queues.
 
 use super::*;
-use crate::core::commits::{EDITS, ENDINGS};
 
 /// Most tasks that a job which has waited long is given at once.
 const FLOOR_TASKS: usize = 16;
+/// Largest job of a chain whose tasks are bound ahead of a block's regular turn.
+const EARLY_TASKS: u32 = 10;
 /// After waiting for so long a job goes to any machine that fits, closed and dear ones included:
 /// what saves money must not keep it waiting while there is room, seconds.
 const OVERDUE_S: f64 = 45.0;
@@ -122,10 +123,7 @@
     /// still coming up, the less: what is bound behind strangers by a rough estimate would wait
     /// there while machines without tasks report.
     fn ahead_s(&self, now: Ms) -> f64 {
-        let blocks = self.view.blocks.len() as f64;
-        let rate = self.settings.platform.settings.state.write_rps;
-        let turns = blocks / (rate * EDITS) + blocks / (rate * ENDINGS);
-        let ahead = self.settings.options.queue_ahead_s + (turns - 1.0).max(0.0);
+        let ahead = self.settings.options.queue_ahead_s + (self.turns_s() - 1.0).max(0.0);
         let all = self.view.machines.len().max(1);
         let known = self.view.machines.keys();
         let infos = known.filter_map(|&ix| self.machine_info(ix, now));
@@ -153,6 +151,13 @@
         waiting / cpus.max(1.0)
     }
 
+    /// Whether a job's tasks are bound at once, and not at the regular turn of a block: it is part
+    /// of a chain whose end somebody waits for, and so small that this costs few writes.
+    fn goes_early(&self, ix: JobIx, job: &Job) -> bool {
+        let chained = job.ready_ms.is_some() || self.view.dependencies.is_needed(ix);
+        chained && job.spec.legs <= EARLY_TASKS
+    }
+
     /// Chooses queues for unbound tasks, most pressing jobs first, and tasks to be stopped.
     pub(crate) fn plan_bindings(&mut self, now: Ms) -> BindPlan {
         let mut plan = BindPlan::default();
@@ -210,7 +215,10 @@
                 .then(a.3.cmp(&b.3))
         });
         let mut zones: Option<HashMap<JobIx, HashMap<ZoneIx, u32>>> = None;
-        let mut slots = self.slots(!overdue.is_empty(), now);
+        let early = order
+            .iter()
+            .any(|o| self.goes_early(o.3, &self.view.jobs[&o.3]));
+        let mut slots = self.slots(!overdue.is_empty(), early, now);
         if slots.is_empty() {
             return plan;
         }
@@ -260,6 +268,7 @@
                 tasks: taken.gaps(job.spec.legs).take(most).collect(),
                 zones,
                 overdue: overdue.contains(&ix),
+                early: self.goes_early(ix, job),
             });
         }
         let limits = Limits {
--- a/src/leader/edits.rs
+++ b/src/leader/edits.rs
@@ -19,6 +19,17 @@
         self.idle(Op::Edit(id), now) && !self.block_busy(id)
     }
 
+    /// Whether the leader may write a block ahead of its turn, for what others wait for.
+    fn writable_early(&self, id: BlockId, now: Ms) -> bool {
+        self.idle_early(Op::Edit(id), now) && !self.block_busy(id)
+    }
+
+    /// Blocks whose key may be written ahead of their turn.
+    pub(crate) fn early_blocks(&self, now: Ms) -> HashSet<BlockId> {
+        let all = self.view.blocks.keys().copied();
+        all.filter(|&id| self.writable_early(id, now)).collect()
+    }
+
     /// Puts machines into blocks, marks those that leave, drops those that are gone, binds tasks.
     pub(crate) fn plan_edits(&mut self, now: Ms, out: &mut Vec<Action>) {
         let mut edits: BTreeMap<BlockId, (Draft, Payload)> = BTreeMap::new();
@@ -122,7 +133,7 @@
     }
 
     /// Bytes that a machine may come to fill in its block's value: its name, and its tasks.
-    fn expected_bytes(&self, frame: FrameIx) -> usize {
+    pub(crate) fn expected_bytes(&self, frame: FrameIx) -> usize {
         let cpus = self.frames.get(&frame).map_or(8.0, |f| f.vcpus);
         let most = self.settings.value_bytes() * 2 / 5;
         (20 + (cpus * 6.0) as usize).min(most)
@@ -217,7 +228,9 @@
             }
         }
         for (id, mut bindings) in by_block {
-            if !self.writable(id, now) {
+            // The plan binds nothing out of a block's turn but what may be.
+            let early = !bindings.is_empty() && self.writable_early(id, now);
+            if !early && !self.writable(id, now) {
                 continue;
             }
             loop {
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -6,6 +6,9 @@
 /// A machine that costs this much more than the cheapest one is dear to hold for a single task.
 const DEAR_TO_HOLD: f64 = 4.0;
 
+/// Jobs that are over and stay in every replica while others wait to run.
+const KEPT_WHILE_BUSY: usize = 150;
+
 /// Price of a CPU of a machine.
 fn per_cpu(frame: &Frame, spot: bool) -> f64 {
     frame.price_of(spot) / frame.vcpus.max(1e-6)
@@ -133,9 +136,13 @@
     }
 
     /// Machines that may take tasks now, if their blocks can be written; on request also those
-    /// that are closed.
-    pub(crate) fn slots(&self, closed_too: bool, now: Ms) -> Vec<Slot> {
+    /// that are closed, and those whose blocks can be written ahead of their turn.
+    pub(crate) fn slots(&self, closed_too: bool, early_too: bool, now: Ms) -> Vec<Slot> {
         let open = self.open_blocks(now);
+        let early = match early_too {
+            true => self.early_blocks(now),
+            false => HashSet::new(),
+        };
         let cheapest = self.cheapest();
         let mut coming: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
         for (m, e) in self.binding() {
@@ -148,7 +155,9 @@
                 continue;
             };
             let closed = self.lead.closed.contains(&ix);
-            if !open.contains(&m.block) || (closed && !closed_too) || !self.available(ix, now) {
+            let regular = open.contains(&m.block);
+            let writable = regular || early.contains(&m.block);
+            if !writable || (closed && !closed_too) || !self.available(ix, now) {
                 continue;
             }
             let warm = self.lead.warm.get(&ix);
@@ -167,6 +176,7 @@
                     .unwrap_or_default(),
                 dear: is_dear(frame, m.spot, cheapest),
                 closed,
+                early: !regular,
             });
         }
         slots
@@ -341,6 +351,11 @@
         if now < self.lead.next_archive || self.refused_lately(now) {
             return None;
         }
+        // Each job that leaves costs two changes: those that wait to run come first.
+        let kept = self.view.jobs.len() - self.view.pending();
+        if kept < KEPT_WHILE_BUSY && self.view.pending() > 0 {
+            return None;
+        }
         let most = (self.settings.platform.settings.state.txn_ops / 2).min(4);
         let binding: HashSet<JobIx> = self.binding().map(|b| b.1.task.job).collect();
         // The watch has passed it: no older change can bring the job back after its drop.
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -84,6 +84,8 @@
     pub dear: bool,
     /// Whether it takes no new tasks, but those of jobs that have waited for long.
     pub closed: bool,
+    /// Whether it takes only tasks that others wait for: its turn has not come yet.
+    pub early: bool,
 }
 
 impl Slot {
@@ -169,6 +171,8 @@
     pub zones: HashMap<ZoneIx, u32>,
     /// Whether it has waited so long that any machine which fits will do, however dear.
     pub overdue: bool,
+    /// Whether its tasks need not wait for the regular turns of machines.
+    pub early: bool,
 }
 
 impl Candidate {
@@ -216,6 +220,7 @@
         && needs.zone_suits(slot.zone, &job.zones)
         && !(slot.dear && job.lasts(limits))
         && (job.overdue || !slot.closed)
+        && (job.early || !slot.early)
 }
 
 /// Binds tasks to the lightest fitting queues while their teams have room.
@@ -232,10 +237,10 @@
     // Queues only fill up during a plan: what has room for no job's tasks is not looked at again,
     // and a job that needs no less than one that found no room finds none either.
     let least = smallest(jobs);
-    let mut open: Vec<usize> = (0..slots.len())
-        .filter(|&i| slots[i].wait_s(&least) <= limits.ahead_s)
-        .collect();
-    let mut failed: Vec<(bool, Needs)> = Vec::new();
+    let with_room = (0..slots.len()).filter(|&i| slots[i].wait_s(&least) <= limits.ahead_s);
+    let (ahead, mut regular): (Vec<usize>, Vec<usize>) = with_room.partition(|&i| slots[i].early);
+    let everything: Vec<usize> = regular.iter().chain(&ahead).copied().collect();
+    let mut failed: Vec<(bool, bool, Needs)> = Vec::new();
     for job in jobs {
         // Room under a team's limit comes free a little at a time. It is kept for the first job
         // that waits for it: otherwise smaller tasks of later jobs would take every bit, and a
@@ -246,6 +251,7 @@
         let Some(team) = teams.get_mut(&job.team) else {
             continue;
         };
+        let open = if job.early { &everything } else { &regular };
         // Machines that have the image are few among many, and a sample of all would miss them.
         let mut warm: Vec<usize> = Vec::new();
         if open.len() > limits.sample {
@@ -256,16 +262,18 @@
             if out.len() >= limits.most || !within(&job.needs.room, team) {
                 break;
             }
-            let hopeless = |f: &(bool, Needs)| (f.0 || !job.overdue) && f.1.covers(&job.needs);
+            let hopeless = |f: &(bool, bool, Needs)| {
+                (f.0 || !job.overdue) && (f.1 || !job.early) && f.2.covers(&job.needs)
+            };
             if failed.iter().any(hopeless) {
                 break;
             }
-            let Some(at) = choose(slots, &open, &warm, &kept, job, limits, rng) else {
-                open.retain(|&i| !kept[i] && slots[i].wait_s(&least) <= limits.ahead_s);
+            let Some(at) = choose(slots, open, &warm, &kept, job, limits, rng) else {
+                regular.retain(|&i| !kept[i] && slots[i].wait_s(&least) <= limits.ahead_s);
                 let anywhere = !job.needs.same_place && job.needs.zone_most.is_none();
                 // Where an overdue job finds nothing, nobody else does, but not the reverse.
                 if anywhere && !job.lasts(limits) {
-                    failed.push((job.overdue, job.needs.clone()));
+                    failed.push((job.overdue, job.early, job.needs.clone()));
                 }
                 break;
             };
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -22,6 +22,7 @@
         warm: HashSet::new(),
         dear: false,
         closed: false,
+        early: false,
     }
 }
 
@@ -51,6 +52,7 @@
         tasks: (0..n).collect(),
         zones: HashMap::new(),
         overdue: false,
+        early: false,
     }
 }
 
@@ -192,3 +194,31 @@
     };
     assert!(run(&mut [spot], job(1, ordinary), 99.0).is_empty());
 }
+
+#[test]
+fn a_machine_whose_turn_has_not_come_takes_only_what_others_wait_for() {
+    let mut slots = [slot(0, 0, 4.0), slot(1, 0, 4.0)];
+    slots[0].early = true;
+    let ordinary = job(8, needs());
+    let mut chained = job(2, needs());
+    (chained.job, chained.early) = (JobIx::from_raw(1), true);
+    let limits = Limits {
+        ahead_s: 0.0,
+        ..LIMITS
+    };
+    let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(100.0))]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let bound = plan(
+        &mut slots,
+        &mut [ordinary, chained],
+        &mut teams,
+        limits,
+        &mut rng,
+    );
+    let on = |machine: usize, job: usize| {
+        let of = |b: &&Binding| b.machine.raw() == machine && b.job.raw() == job;
+        bound.iter().filter(of).count()
+    };
+    assert_eq!((on(0, 0), on(1, 0)), (0, 4), "of the ordinary job");
+    assert_eq!(on(0, 1), 2, "of the job that others wait for");
+}
--- a/src/view.rs
+++ b/src/view.rs
@@ -781,11 +781,15 @@
         record
     }
 
+    /// Number of jobs that are not over and wait for no other.
+    pub fn pending(&self) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|j| j.status == JobStatus::Pending).count()
+    }
+
     /// Number of jobs that are not over.
     pub fn unfinished(&self) -> usize {
-        let jobs = self.jobs.values();
-        let open = jobs.filter(|j| j.status == JobStatus::Pending).count();
-        open + self.waiting.jobs.len()
+        self.pending() + self.waiting.jobs.len()
     }
 
     /// The highest revision known here, by the watch or by an own commit.
