--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -96,6 +96,16 @@
     demand.iter().map(|d| d.tasks * d.needs.room.cpus).sum()
 }
 
+/// The work that may not run on spot machines.
+///
+/// Guards against counting spot machines as room for it: the cheap machines sufficed for all that
+/// could run, so the ordinary ones were closed and given back, and steps of a chain that may not run
+/// elsewhere waited for minutes.
+fn lasting_only(demand: &[Demand]) -> Vec<Demand> {
+    let lasting = demand.iter().filter(|d| !d.needs.spot);
+    lasting.cloned().collect()
+}
+
 fn worth(demand: &[Demand], horizon_s: f64) -> f64 {
     let runnable = runnable(demand);
     let work: f64 = demand.iter().map(|d| d.work).sum();
@@ -161,6 +171,15 @@
                 .filter(|e| useful(e.0, e.1, e.2, &e.3))
                 .map(|e| e.3.cpus * f64::from(e.4))
                 .sum::<f64>();
+            let (want, have) = match spot {
+                true => (want, have),
+                false => {
+                    let lasting = lasting_only(&usable);
+                    let short = worth(&lasting, rules.horizon_s) - ordinary_cpus(fleet, &extra);
+                    // Whichever lacks more: room for everything, or for what needs these.
+                    (want.max(have + short), have)
+                }
+            };
             // Spread over the zones that are open: capacity is not published, and a zone that
             // is lost then takes only its part along.
             let missing = (want - have) / (zones.len() - i) as f64;
@@ -215,10 +234,21 @@
     out
 }
 
+/// CPUs of the machines that are no spot machines, of the fleet and of what is asked for already.
+fn ordinary_cpus(fleet: &[Rented], extra: &[(FrameIx, ZoneIx, bool, Room, u32)]) -> f64 {
+    let there = fleet.iter().filter(|m| !m.spot).map(|m| m.size.cpus);
+    let asked = extra.iter().filter(|e| !e.2);
+    let asked = asked.map(|e| e.3.cpus * f64::from(e.4));
+    there.sum::<f64>() + asked.sum::<f64>()
+}
+
 /// Decides which idle machines go back: the dearest per CPU first, while what stays suffices.
 pub fn give_back(demand: &[Demand], fleet: &[Rented], rules: &Rules) -> Vec<MachineIx> {
     let want = wanted(demand, rules);
     let mut have: f64 = fleet.iter().map(|m| m.size.cpus).sum();
+    let want_lasting = wanted(&lasting_only(demand), rules);
+    let ordinary = fleet.iter().filter(|m| !m.spot);
+    let mut have_lasting: f64 = ordinary.map(|m| m.size.cpus).sum();
     let mut idle: Vec<&Rented> = fleet
         .iter()
         .filter(|m| m.idle_s.is_some_and(|i| i >= rules.idle_s) && m.held_s >= rules.charge_s)
@@ -239,8 +269,11 @@
                         && d.needs.suits(o.frame, o.zone, o.spot, &o.size)
                 })
         });
-        if !needed && have - m.size.cpus >= want {
+        let lasting = if m.spot { 0.0 } else { m.size.cpus };
+        let spare_lasting = m.spot || have_lasting - lasting >= want_lasting;
+        if !needed && have - m.size.cpus >= want && spare_lasting {
             have -= m.size.cpus;
+            have_lasting -= lasting;
             out.push(m.machine);
         }
     }
@@ -264,19 +297,26 @@
     });
     let want = runnable(demand) * 1.1 + 2.0;
     let want_dear = worth(demand, rules.horizon_s);
+    let mut want_lasting = runnable(&lasting_only(demand));
     let cheapest = fleet.iter().map(|m| m.0.per_cpu());
     let cheapest = cheapest.fold(f64::INFINITY, f64::min);
     let mut have = 0.0;
     let mut kept: Vec<&Rented> = Vec::new();
     let mut out = Vec::new();
-    for (m, _) in order {
+    for (m, used) in order {
         let only = demand.iter().any(|d| {
             let suits = |m: &Rented| d.needs.suits(m.frame, m.zone, m.spot, &m.size);
             d.tasks > 0.0 && suits(m) && !kept.iter().any(|k| suits(k))
         });
         let dear = m.per_cpu() > cheapest * DEAR;
-        if have < (if dear { want_dear } else { want }) || only {
+        let enough = have >= (if dear { want_dear } else { want });
+        // Spot machines are no use to tasks that may not run there.
+        let lasting = !m.spot && want_lasting > 1e-6;
+        if !enough || lasting || only {
             have += m.size.cpus;
+            if !m.spot {
+                want_lasting -= (m.size.cpus - used).max(0.0);
+            }
             kept.push(m);
         } else {
             out.push(m.machine);
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -117,3 +117,45 @@
     let closed = close(&[demand(30.0, 400.0)], &fleet, &RULES);
     assert_eq!(closed, [MachineIx::from_raw(0)]);
 }
+
+/// Work that may not run on spot machines.
+fn lasting(tasks: f64, work: f64) -> Demand {
+    let mut demand = demand(tasks, work);
+    demand.needs.spot = false;
+    demand
+}
+
+/// Machines on the spot market, and ordinary ones, all idle.
+fn mixed(spot: u32, ordinary: u32) -> Vec<Rented> {
+    let machines = (0..spot + ordinary).map(|n| Rented {
+        spot: n < spot,
+        price: if n < spot { 0.3 } else { 1.0 },
+        ..rented(n, 4.0, Some(100.0), 100.0)
+    });
+    machines.collect()
+}
+
+#[test]
+fn spot_machines_are_no_room_for_what_may_not_run_there() {
+    let work = [demand(8.0, 2000.0), lasting(10.0, 2000.0)];
+    // Both sorts are closed only as far as each is not needed.
+    let fleet: Vec<(Rented, f64)> = mixed(10, 10).into_iter().map(|m| (m, 0.0)).collect();
+    let closed = close(&work, &fleet, &RULES);
+    let ordinary_closed = closed.iter().filter(|m| m.raw() >= 10).count();
+    assert_eq!(
+        ordinary_closed, 7,
+        "12 of 40 CPUs stay for the 10 that need them"
+    );
+    let returned = give_back(&work, &mixed(10, 10), &RULES);
+    let ordinary_left = 10 - returned.iter().filter(|m| m.raw() >= 10).count();
+    assert!(ordinary_left >= 3, "{ordinary_left} ordinary machines stay");
+    let none = give_back(&[], &mixed(0, 10), &RULES);
+    assert_eq!(none.len(), 10);
+    // And ordinary ones are rented although spot machines stand idle.
+    let offers = [offer(0, 4.0, 1.0)];
+    let orders = rent(&work, &mixed(20, 0), &offers, &RULES, |_, _, _| true);
+    let asked: u32 = orders.iter().filter(|o| !o.spot).map(|o| o.number).sum();
+    assert!((2..=4).contains(&asked), "{orders:?}");
+    let orders = rent(&work, &mixed(20, 4), &offers, &RULES, |_, _, _| true);
+    assert!(orders.iter().all(|o| o.spot), "{orders:?}");
+}
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -4,6 +4,9 @@
 
 /// Most tasks that a job which has waited long is given at once.
 const FLOOR_TASKS: usize = 16;
+/// While there is work that may not run on spot machines, other work goes to an ordinary machine only
+/// if that saves it so much, seconds.
+const SCARCE_S: f64 = 2.0;
 /// Largest job of a chain whose tasks are bound ahead of a block's regular turn.
 const EARLY_TASKS: u32 = 10;
 /// After waiting for so long a job goes to any machine that fits, closed and dear ones included:
@@ -151,6 +154,14 @@
         waiting / cpus.max(1.0)
     }
 
+    /// Whether some job that is not over, waiting ones included, may not run on spot machines.
+    fn ordinary_wanted(&self) -> bool {
+        let pending = self.view.jobs.values();
+        let mut pending = pending.filter(|j| j.status == JobStatus::Pending);
+        let mut waiting = self.view.waiting.jobs.values();
+        pending.any(|j| !j.spec.loaners) || waiting.any(|w| !w.record.spec.loaners)
+    }
+
     /// Whether a job's tasks are bound at once, and not at the regular turn of a block: it is part
     /// of a chain whose end somebody waits for, and so small that this costs few writes.
     fn goes_early(&self, ix: JobIx, job: &Job) -> bool {
@@ -276,6 +287,11 @@
             sample: self.settings.options.queue_sample as usize,
             most: slots.len().max(300),
             lasting_s: self.waiting_s() + self.settings.options.fleet_horizon_s / 1.5,
+            scarce_s: if self.ordinary_wanted() {
+                SCARCE_S
+            } else {
+                0.0
+            },
         };
         let cpus = |s: &[Slot]| -> f64 { s.iter().map(|s| s.size.cpus - s.used.cpus).sum() };
         let free = cpus(&slots);
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -211,6 +211,8 @@
     /// Longest task that dear machines still take, seconds: one that would run on when all that
     /// waits is through would hold the whole machine for itself.
     pub lasting_s: f64,
+    /// What an ordinary machine must save a task that may run on a spot machine as well, seconds.
+    pub scarce_s: f64,
 }
 
 /// Whether a slot is a place for a job's tasks, room aside.
@@ -368,7 +370,13 @@
         } else {
             job.image_gb / slot.fetch_gb_per_s.max(0.01)
         };
-        Some((wait + fetch, slot.load))
+        // Ordinary machines are few: tasks that may go elsewhere leave them to those that may not.
+        let scarce = if job.needs.spot && !slot.spot {
+            limits.scarce_s
+        } else {
+            0.0
+        };
+        Some((wait + fetch + scarce, slot.load))
     };
     let best = |indices: &mut dyn Iterator<Item = usize>| {
         indices
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -61,6 +61,7 @@
     sample: 16,
     most: 100,
     lasting_s: f64::INFINITY,
+    scarce_s: 0.0,
 };
 
 /// Plans for one team that may use so many CPUs more.
@@ -222,3 +223,25 @@
     assert_eq!((on(0, 0), on(1, 0)), (0, 4), "of the ordinary job");
     assert_eq!(on(0, 1), 2, "of the job that others wait for");
 }
+
+#[test]
+fn tasks_that_may_run_on_spot_machines_leave_ordinary_ones_to_those_that_may_not() {
+    let mut slots = [slot(0, 0, 4.0), slot(1, 0, 4.0)];
+    slots[1].spot = true;
+    slots[0].load = 0.0;
+    slots[1].load = 9.0;
+    let limits = Limits {
+        scarce_s: 2.0,
+        ..LIMITS
+    };
+    let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(100.0))]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let bound = plan(
+        &mut slots,
+        &mut [job(2, needs())],
+        &mut teams,
+        limits,
+        &mut rng,
+    );
+    assert!(bound.iter().all(|b| b.machine.raw() == 1), "{bound:?}");
+}
