--- a/src/core/endings.rs
+++ b/src/core/endings.rs
@@ -2,7 +2,6 @@
 
 use super::commits::Payload;
 use super::*;
-use crate::ranges::RangeSet;
 use crate::records::BlockRecord;
 use crate::view::Draft;
 
@@ -10,8 +9,6 @@
 const FLUSH_ABOVE: f64 = 0.6;
 /// Jobs whose list is moved at a time: each costs a change, and frees the list in every block.
 const FLUSHED: usize = 3;
-/// So many tasks of a job are its last ones.
-const LAST_TASKS: u32 = 4;
 /// Most bytes of values in one transaction: the service takes 64 KiB altogether (PROTOCOL, commit),
 /// keys and conditions included.
 pub(crate) const TXN_BYTES: usize = 56 * 1024;
@@ -83,8 +80,7 @@
             .collect();
         for id in blocks {
             let op = Op::Ends(id);
-            let due = self.idle(op, now) || (self.idle_early(op, now) && self.ends_chained(id));
-            if !due || self.block_busy(id) {
+            if !self.idle(op, now) || self.block_busy(id) {
                 continue;
             }
             if let Some((txn, payload)) = self.plan_ends(id) {
@@ -93,19 +89,28 @@
         }
     }
 
-    /// Whether one of the last tasks of a job that others wait for has ended in a block: it is
-    /// recorded at once, for nothing of those others begins before.
-    fn ends_chained(&self, id: BlockId) -> bool {
-        let block = self.view.blocks.get(&id);
-        let machines = block.into_iter().flat_map(|b| &b.machines);
-        let ends = machines.filter_map(|m| self.ends.get(m)).flatten();
-        let done = ends.filter(|(_, end)| *end == End::Done);
-        let mut jobs = done.map(|(entry, _)| entry.task.job);
-        jobs.any(|ix| {
-            let job = self.view.jobs.get(&ix);
-            self.view.dependencies.is_needed(ix)
-                && job.is_some_and(|j| j.spec.legs - j.done.len().min(j.spec.legs) <= LAST_TASKS)
-        })
+    /// Tasks that were done on the machines held here and that are not recorded yet.
+    pub(crate) fn unrecorded_done(&self) -> BTreeMap<JobIx, RangeSet> {
+        let ends = self.ends.values().flatten();
+        let mut done: BTreeMap<JobIx, RangeSet> = BTreeMap::new();
+        for (entry, _) in ends.filter(|(_, end)| *end == End::Done) {
+            let tasks = done.entry(entry.task.job).or_default();
+            tasks.insert(entry.task.leg);
+        }
+        done
+    }
+
+    /// The same of all holders, as far as they have told.
+    ///
+    /// A job's last endings need not wait for the turns of the blocks that list them: what is done
+    /// stays done, whoever holds the machine next, so a job may be recorded as done on the word of
+    /// the holders, and its blocks follow in their turns.
+    pub(crate) fn told_done(&self) -> BTreeMap<JobIx, RangeSet> {
+        let mut done = self.unrecorded_done();
+        for (&job, tasks) in self.peers.values().flat_map(|p| &p.done) {
+            done.entry(job).or_default().union(tasks);
+        }
+        done
     }
 
     /// A block's content without the tasks that have ended there.
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -199,6 +199,7 @@
             for p in self.peers.values_mut() {
                 p.fails.retain(|f| stays(&f.0));
                 p.running.retain(|j, _| stays(j));
+                p.done.retain(|j, _| stays(j));
             }
         }
         let ledger = self.view.ledger;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 use crate::leader::LeadRt;
 use crate::names::{ClassIx, FrameIx, HostIx, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::queue::{Needs, Room};
+use crate::ranges::RangeSet;
 use crate::records::{CURRENT_FORMAT, LoadRecord, NodeRecord, OwnerRecord};
 use crate::settings::Settings;
 use crate::view::{
@@ -226,6 +227,8 @@
     pub machines_at: Option<Ms>,
     /// Tasks that run on them.
     pub running: HashMap<JobIx, u32>,
+    /// Tasks that were done on them and that it has not recorded yet.
+    pub done: HashMap<JobIx, RangeSet>,
     pub strays: Vec<Stray>,
     pub fails: Vec<(JobIx, u32, Ms)>,
 }
@@ -769,10 +772,33 @@
             "leader": self.view.lead.map(|l| names.hosts.name(l.host)),
             "ledger": self.view.ledger, "jobs": self.view.jobs.len(),
             "machines": machines, "counters": self.counters,
+            "waiting": self.waiting_jobs(), "versions": self.versions(),
         })
     }
 }
 
+impl Core {
+    /// Each job that waits, with those that it needs and that are not finally done.
+    fn waiting_jobs(&self) -> BTreeMap<&str, Vec<&str>> {
+        let names = &self.view.names.jobs;
+        let waiting = self.view.waiting.jobs.keys();
+        waiting
+            .map(|&job| {
+                let open = self.view.open_predecessors(job);
+                (names.name(job), open.map(|p| names.name(p)).collect())
+            })
+            .collect()
+    }
+
+    /// The format that each controller was last seen to write.
+    fn versions(&self) -> BTreeMap<&str, u32> {
+        let hosts = &self.view.names.hosts;
+        let nodes = self.view.nodes.iter();
+        let shown = nodes.map(|(&host, node)| (hosts.name(host), node.format));
+        shown.chain([(self.my_name(), self.format)]).collect()
+    }
+}
+
 fn leg_rt(leg: &crate::wire::Leg, running_since: Option<Ms>) -> LegRt {
     LegRt {
         attempt: leg.attempt,
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -278,6 +278,11 @@
                 .iter()
                 .map(|(&j, &n)| (names.jobs.name(j).to_owned(), n))
                 .collect(),
+            done: self
+                .unrecorded_done()
+                .into_iter()
+                .map(|(job, tasks)| (names.jobs.name(job).to_owned(), tasks))
+                .collect(),
         });
         PeerNews {
             host: self.my_name().to_owned(),
@@ -389,6 +394,10 @@
             peer.running = running
                 .filter_map(|(j, n)| Some((names.jobs.get(j)?, *n)))
                 .collect();
+            let done = fleet.done.into_iter();
+            peer.done = done
+                .filter_map(|(job, tasks)| Some((names.jobs.get(&job)?, tasks)))
+                .collect();
         }
         // A cancellation is final, so whoever knows of one may be believed.
         for name in &news.withdrawn {
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -536,6 +536,8 @@
             End::Done => {
                 rt.failed.clear();
                 self.fails.remove(&job);
+                // Others wait for it: the leader hears of its last endings soon.
+                self.hasty |= self.view.dependencies.is_needed(job);
             }
             End::Failed => {
                 let f = self.fails.entry(job).or_insert(Fails {
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -7,7 +7,7 @@
 const DEAR_TO_HOLD: f64 = 4.0;
 
 /// Jobs that are over and stay in every replica while others wait to run.
-const KEPT_WHILE_BUSY: usize = 150;
+const KEPT_WHILE_BUSY: usize = 600;
 
 /// Price of a CPU of a machine.
 fn per_cpu(frame: &Frame, spot: bool) -> f64 {
@@ -324,14 +324,25 @@
         let most = self.settings.platform.settings.state.txn_ops;
         let mut txn = Txn::default();
         let mut size = 0;
-        let jobs = self.view.jobs.iter();
-        let over =
-            jobs.filter(|(_, j)| j.status == JobStatus::Pending && j.done.len() >= j.spec.legs);
+        let told = self.told_done();
+        let none = RangeSet::new();
+        let done_of = |ix: JobIx| told.get(&ix).unwrap_or(&none);
+        let all_done = |ix: JobIx, job: &Job| match told.get(&ix) {
+            None => job.done.len() >= job.spec.legs,
+            Some(told) => {
+                let mut done = job.done.clone();
+                done.union(told);
+                done.len() >= job.spec.legs
+            }
+        };
+        let pending = self.view.jobs.iter();
+        let pending = pending.filter(|(_, j)| j.status == JobStatus::Pending);
+        let over = pending.filter(|&(&ix, job)| all_done(ix, job));
         let mut over: Vec<JobIx> = over.map(|(&ix, _)| ix).collect();
         // What others wait for goes first.
         over.sort_by_key(|&ix| (!self.view.dependencies.is_needed(ix), ix));
         for ix in over.into_iter().take(most) {
-            let Some(change) = self.job_change(ix, &RangeSet::new()) else {
+            let Some(change) = self.job_change(ix, done_of(ix)) else {
                 continue;
             };
             if let Change::Put { put, v, .. } = &change {
@@ -374,7 +385,11 @@
         over.extend(self.withdrawn_waiting());
         // The more of them there are, the sooner the next turn: jobs that end faster than they
         // leave would fill the memory.
-        let wait = 4000 / (1 + over.len() as u64 / 50);
+        let crowd = match self.view.pending() {
+            0 => over.len() as u64 / 10,
+            _ => over.len() as u64 / 50,
+        };
+        let wait = 4000 / (1 + crowd);
         self.lead.next_archive = now.plus(wait.max(500));
         if over.is_empty() {
             return None;
--- a/src/view/waiting.rs
+++ b/src/view/waiting.rs
@@ -125,8 +125,13 @@
     /// Whether all jobs that a waiting job needs are finally done.
     pub fn is_ready(&self, job: JobIx) -> bool {
         let waits = self.waiting.jobs.get(&job);
-        let predecessors = self.dependencies.predecessors(job);
-        waits.is_some_and(|w| !w.withdrawn) && predecessors.iter().all(|&p| self.is_finally_done(p))
+        waits.is_some_and(|w| !w.withdrawn) && self.open_predecessors(job).next().is_none()
+    }
+
+    /// The jobs that a waiting job needs and that are not finally done.
+    pub fn open_predecessors(&self, job: JobIx) -> impl Iterator<Item = JobIx> + '_ {
+        let predecessors = self.dependencies.predecessors(job).iter().copied();
+        predecessors.filter(|&p| !self.is_finally_done(p))
     }
 
     /// Needed jobs that stand under no watched key, and of which no final state is known either.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,5 +1,6 @@
 //! Messages of every interface, as PROTOCOL writes them, and those between controllers.
 
+use crate::ranges::RangeSet;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use serde_json::value::RawValue;
 use std::sync::Arc;
@@ -581,6 +582,9 @@
     pub machines: Vec<MachineNews>,
     /// Tasks that run there, by job.
     pub running: Vec<(String, u32)>,
+    /// Tasks that were done there and are not recorded yet, by job.
+    #[serde(default)]
+    pub done: Vec<(String, RangeSet)>,
 }
 
 /// What controllers tell each other, in a request as in its answer.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -5,6 +5,7 @@
 
 use quillbend::clock::Ms;
 use quillbend::core::{Outcome, Reply};
+use quillbend::records::BlockRecord;
 use quillbend::wire::JobStatus;
 use support::{Mood, World};
 
@@ -525,3 +526,31 @@
         w.assert_kept();
     }
 }
+
+#[test]
+fn a_jobs_last_endings_do_not_wait_for_the_turns_of_the_blocks_that_list_them() {
+    let mut w = World::settled(61, 3, 9);
+    // So few changes a second make turns of many seconds.
+    w.settings.platform.settings.state.write_rps = 1.0;
+    (0..3).for_each(|i| w.crash(i));
+    (0..3).for_each(|i| w.start(i));
+    w.run(10_000);
+    w.run_ms = 6000;
+    let jobs: Vec<String> = (1..=4).map(|n| w.submit(n, w.spec(6))).collect();
+    let ended = |w: &World| w.starts.len() == 24 && w.running() == 0;
+    w.until(60_000, "all tasks have ended", ended);
+    w.run(2500);
+    let recorded: u32 = {
+        let blocks = w.state.list("qb/block/").0.into_iter();
+        let blocks = blocks.map(|b| b.v.read::<BlockRecord>().expect("a block"));
+        let queued = blocks.flat_map(|b| b.m.into_values().flat_map(|m| m.q));
+        queued.map(|(_, tasks, _)| tasks.len()).sum()
+    };
+    assert!(recorded > 0, "no block had to wait for its turn");
+    for job in &jobs {
+        assert!(w.is_done(job), "{job}");
+    }
+    w.run(30_000);
+    assert_eq!(w.starts.len(), 24, "something was begun again");
+    w.assert_kept();
+}
