--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -6,9 +6,6 @@
 /// A machine that costs this much more than the cheapest one is dear to hold for a single task.
 const DEAR_TO_HOLD: f64 = 4.0;
 
-/// Jobs that are over and stay in every replica while others wait to run.
-const KEPT_WHILE_BUSY: usize = 600;
-
 /// Price of a CPU of a machine.
 fn per_cpu(frame: &Frame, spot: bool) -> f64 {
     frame.price_of(spot) / frame.vcpus.max(1e-6)
@@ -363,8 +360,9 @@
             return None;
         }
         // Each job that leaves costs two changes: those that wait to run come first.
-        let kept = self.view.jobs.len() - self.view.pending();
-        if kept < KEPT_WHILE_BUSY && self.view.pending() > 0 {
+        let pending = self.view.pending();
+        let over = self.view.jobs.len() - pending;
+        if pending > 0 && over < self.settings.options.jobs_kept as usize {
             return None;
         }
         let most = (self.settings.platform.settings.state.txn_ops / 2).min(4);
@@ -385,7 +383,7 @@
         over.extend(self.withdrawn_waiting());
         // The more of them there are, the sooner the next turn: jobs that end faster than they
         // leave would fill the memory.
-        let crowd = match self.view.pending() {
+        let crowd = match pending {
             0 => over.len() as u64 / 10,
             _ => over.len() as u64 / 50,
         };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -384,6 +384,9 @@
     fleet_most: "fleet/most" = 100000.0 in 1.0..=1000000.0;
     /// Most unfinished jobs; more are answered with 429.
     jobs_most: "jobs/most" = 20000.0 in 1.0..=1000000.0;
+    /// Jobs that are over and stay in every replica while others wait to run: each that leaves costs
+    /// two changes.
+    jobs_kept: "jobs/kept" = 600.0 in 0.0..=100000.0;
     /// Milliseconds between messages to a peer.
     peers_period_ms: "peers/period-ms" = 700.0 in 100.0..=10000.0;
     /// Seconds of silence after which a peer is suspected.
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -322,17 +322,21 @@
 #[test]
 fn what_is_needed_is_not_archived_and_a_new_leader_or_a_full_read_loses_nothing() {
     let mut w = World::settled(22, 3, 6);
+    // What is over is archived at once, also while others wait to run.
+    w.settings.options.jobs_kept = 0.0;
+    (0..3).for_each(|i| w.start(i));
+    w.run(8000);
     w.run_ms = 3000;
+    let aside = w.submit(4, w.spec(1));
     let first = w.submit(1, w.spec(1));
     let slow = w.submit(2, w.spec(1));
     w.faulty.insert(slow.clone());
     let last = w.chain(3, w.spec(2), &[&first, &slow]);
     w.until(20_000, "done", |w| w.is_done(&first));
     w.run(90_000);
-    assert!(
-        w.state.value(&past_key(&first)).is_none(),
-        "it is still needed"
-    );
+    let archived = |w: &World, job: &str| w.state.value(&past_key(job)).is_some();
+    assert!(archived(&w, &aside), "nothing is archived at all");
+    assert!(!archived(&w, &first), "it is still needed");
     // Everybody reads everything anew.
     for i in 0..3 {
         w.crash(i);
@@ -391,9 +395,7 @@
             w.run(luck.random_range(2000..8000));
         }
         let called_off = all[5].clone();
-        // The door answers `done` for a job that is done, and cancels nothing.
-        let cancelled =
-            !w.is_done(&called_off) && matches!(w.cancel(&called_off), Outcome::Done(_));
+        let cancelled = w.is_open(&called_off) && matches!(w.cancel(&called_off), Outcome::Done(_));
         let (over, rest): (Vec<String>, Vec<String>) = all.into_iter().partition(|j| {
             cancelled && ["wk-000201", "wk-000202", "wk-000203"].contains(&j.as_str())
         });
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -852,6 +852,13 @@
         done.len()
     }
 
+    /// Whether a job is not over; the door cancels no other.
+    pub fn is_open(&self, name: &str) -> bool {
+        let pending = |status| status == JobStatus::Pending;
+        self.waiting(name).is_some_and(|w| pending(w.status))
+            || self.job(name).is_some_and(|j| pending(j.st))
+    }
+
     pub fn is_done(&self, name: &str) -> bool {
         self.job(name).is_some_and(|j| j.st == JobStatus::Done)
     }
@@ -1339,8 +1346,20 @@
         }
     }
 
+    /// A job that waited is bindable only once all that it named is finally done.
+    fn check_ready(&mut self) {
+        for (job, named) in &self.awaits {
+            let bindable = self.state.value(&job_key(job)).is_some();
+            if let Some(early) = named.iter().find(|n| bindable && !self.is_done(n)) {
+                let what = format!("too_early: {job} may be bound, {early} is not done");
+                self.broken.push(what);
+            }
+        }
+    }
+
     fn check(&mut self) {
         self.check_cancelled();
+        self.check_ready();
         let mut used: HashMap<String, f64> = HashMap::new();
         for w in &self.workers {
             for t in w.tasks.iter().filter(|t| t.ended.is_none()) {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -188,7 +188,7 @@
         );
         let starts = w.starts.len();
         let called_off = jobs.remove(0);
-        if !w.is_done(&called_off) {
+        if w.is_open(&called_off) {
             w.cancel(&called_off);
         }
         w.until(300_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
@@ -321,7 +321,7 @@
             }
             if luck.random_bool(0.15)
                 && let Some(job) = jobs.get(luck.random_range(0..jobs.len())).cloned()
-                && !w.is_done(&job)
+                && w.is_open(&job)
             {
                 w.cancel(&job);
                 over.push(job);
