--- a/src/api.rs
+++ b/src/api.rs
@@ -163,8 +163,8 @@
         // It left the watched part, or was never accepted.
         let archived = self.state.archived(name, READ_WAIT).await?;
         Ok(archived.map(|record| Found {
-            status: record.st,
-            done: record.d.len(),
+            status: record.status,
+            done: record.done.len(),
             open: None,
         }))
     }
--- a/src/api/submission.rs
+++ b/src/api/submission.rs
@@ -45,7 +45,12 @@
             return unavailable("machine types are not known yet");
         }
         if let Some(why) = self.never_runs(&job) {
-            tracing::debug!(job = job.name, class = job.record.s.route, why, "refused");
+            tracing::debug!(
+                job = job.name,
+                class = job.record.spec.route,
+                why,
+                "refused"
+            );
             let refusal = refuse(StatusCode::UNPROCESSABLE_ENTITY, &why);
             return self.known_or(&job.name, refusal).await;
         }
@@ -78,7 +83,7 @@
     /// Why a job can never run, if so.
     fn never_runs(&self, job: &NewJob) -> Option<String> {
         let core = self.shared.core.lock();
-        let never = core.never_runs(&job.record.s);
+        let never = core.never_runs(&job.record.spec);
         let too_long = || "the job's description is too long".to_owned();
         never.or_else(|| (!core.fits_state_when_ready(&job.record)).then(too_long))
     }
@@ -176,7 +181,7 @@
             return Err(StateError::Busy);
         }
         let archived = self.state.archived(name, left.min(READ_WAIT)).await?;
-        Ok(archived.map(|record| record.st))
+        Ok(archived.map(|record| record.status))
     }
 
     /// Sends the transaction that accepts a job. The budget of changes comes back within moments:
@@ -195,7 +200,7 @@
     /// The answer to a submission that was accepted.
     fn accepted(&self, job: NewJob, txn: &Txn, status: JobStatus, ledger: u64) -> HttpResponse {
         self.shared.core.lock().view.apply_own(txn, ledger);
-        let spec = &job.record.s;
+        let spec = &job.record.spec;
         tracing::debug!(
             job = job.name,
             class = spec.route,
--- a/src/core/endings.rs
+++ b/src/core/endings.rs
@@ -20,16 +20,17 @@
         let stranger = self.settings.stranger_gone_ms();
         let mut lost: Vec<MachineIx> = Vec::new();
         let mut gone_legs = Vec::new();
-        for (&ix, rt) in &mut self.rt {
-            if rt.lost {
+        for (&ix, runtime) in &mut self.runtime {
+            if runtime.lost {
                 lost.push(ix);
                 continue;
             }
             // Before the machine obeys our token an earlier holder may still be answering it.
-            let gone = match (rt.fenced, rt.last_ok) {
+            let gone = match (runtime.fenced, runtime.last_ok) {
                 (true, Some(ok)) => now.since(ok) > worker,
                 (_, ok) => {
-                    now.since(rt.since) > stranger && ok.is_none_or(|ok| now.since(ok) > worker)
+                    now.since(runtime.since) > stranger
+                        && ok.is_none_or(|ok| now.since(ok) > worker)
                 }
             };
             if !gone {
@@ -38,12 +39,12 @@
             let Some(m) = self.view.machines.get(&ix) else {
                 continue;
             };
-            if rt.heard.is_none() && m.queue.is_empty() {
+            if runtime.heard.is_none() && m.queue.is_empty() {
                 continue;
             }
-            rt.lost = true;
-            gone_legs.push(std::mem::take(&mut rt.legs));
-            rt.launched.clear();
+            runtime.lost = true;
+            gone_legs.push(std::mem::take(&mut runtime.legs));
+            runtime.launched.clear();
             self.counters.lost_machines += 1;
             lost.push(ix);
             warn!(
@@ -258,7 +259,7 @@
         spare_changes: usize,
     ) -> Vec<(JobIx, Change)> {
         let most = self.settings.value_bytes() as f64;
-        let listed: usize = record.d.iter().map(|d| d.1.text_len() + 8).sum();
+        let listed: usize = record.done.iter().map(|d| d.1.text_len() + 8).sum();
         let full = bytes as f64 > most * FLUSH_ABOVE && listed as f64 > most * 0.15;
         let very_full = bytes as f64 > most * 0.9;
         if !full && !very_full {
@@ -267,11 +268,13 @@
         let ops = self.settings.platform.settings.state.txn_ops;
         let number = if very_full { ops / 2 } else { FLUSHED };
         let number = number.min(spare_changes);
-        record.d.sort_by_key(|d| std::cmp::Reverse(d.1.text_len()));
+        record
+            .done
+            .sort_by_key(|d| std::cmp::Reverse(d.1.text_len()));
         let mut flushed = Vec::new();
         let mut kept = Vec::new();
-        for (j, tasks) in std::mem::take(&mut record.d) {
-            let job = record.j.get(j).and_then(|j| self.view.names.jobs.get(j));
+        for (j, tasks) in std::mem::take(&mut record.done) {
+            let job = record.jobs.get(j).and_then(|j| self.view.names.jobs.get(j));
             let change = job
                 .filter(|_| flushed.len() < number)
                 .and_then(|job| Some((job, self.job_change(job, &tasks)?)));
@@ -283,7 +286,7 @@
                 _ => kept.push((j, tasks)),
             }
         }
-        record.d = kept;
+        record.done = kept;
         flushed
     }
 
@@ -305,11 +308,11 @@
 
     /// Whether a machine that obeys our token surely has not been told to start a task.
     pub(crate) fn unstarted(&self, ix: MachineIx, e: &Entry) -> bool {
-        self.rt.get(&ix).is_some_and(|rt| {
-            rt.fenced
-                && !rt.lost
-                && !rt.legs.contains_key(&e.task)
-                && !rt.launched.contains(&e.task)
+        self.runtime.get(&ix).is_some_and(|runtime| {
+            runtime.fenced
+                && !runtime.lost
+                && !runtime.legs.contains_key(&e.task)
+                && !runtime.launched.contains(&e.task)
         })
     }
 }
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -105,7 +105,7 @@
         // When nobody reaches the state service, being marked unhealthy would only keep users
         // away for longer than the outage lasts. A controller that hears nobody either is itself
         // cut off, and the others may be well.
-        let heard: Vec<&PeerRt> = self
+        let heard: Vec<&PeerState> = self
             .others
             .iter()
             .filter_map(|h| self.peers.get(h))
@@ -134,8 +134,8 @@
         }
         let key = node_key(self.my_name());
         let record = NodeRecord {
-            b: self.boot.0,
-            l: permit,
+            boot: self.boot.0,
+            lease: permit,
             format: self.format,
         };
         let txn = Txn {
@@ -183,10 +183,10 @@
         if !released.is_empty() {
             // The index may come back as another job: nothing may remember it.
             let stays = |j: &JobIx| !released.contains(j);
-            for rt in self.rt.values_mut() {
-                rt.legs.retain(|t, _| stays(&t.job));
-                rt.launched.retain(|t| stays(&t.job));
-                rt.failed.retain(stays);
+            for runtime in self.runtime.values_mut() {
+                runtime.legs.retain(|t, _| stays(&t.job));
+                runtime.launched.retain(|t| stays(&t.job));
+                runtime.failed.retain(stays);
             }
             for ends in self.ends.values_mut() {
                 ends.retain(|(e, _)| stays(&e.task.job));
@@ -236,11 +236,11 @@
             let machines = self.view.blocks.get(&id).map(|b| b.machines.clone());
             for ix in machines.unwrap_or_default() {
                 self.follow_machine(ix, token, now);
-                if let Some(rt) = self.rt.get_mut(&ix)
-                    && rt.waits
+                if let Some(runtime) = self.runtime.get_mut(&ix)
+                    && runtime.waits
                     && self.view.lists_any(ix)
                 {
-                    rt.waits = false;
+                    runtime.waits = false;
                     self.woken.push(ix);
                 }
             }
@@ -253,17 +253,21 @@
             self.drop_machine(ix);
             return;
         };
-        if self.rt.get(&ix).is_none_or(|rt| rt.token != token) {
+        if self
+            .runtime
+            .get(&ix)
+            .is_none_or(|runtime| runtime.token != token)
+        {
             // Conclusions drawn under one token are worth nothing under another: in between
             // somebody else may have held the block and started what we took for unstarted. The
             // grants' stamps guard what is under way already, not what still waits to be sent.
             self.drop_machine(ix);
-            let rt = Rt {
+            let runtime = MachineRuntime {
                 token,
                 since: now,
-                ..Rt::default()
+                ..MachineRuntime::default()
             };
-            self.rt.insert(ix, rt);
+            self.runtime.insert(ix, runtime);
         } else if let Some(ends) = self.ends.get_mut(&ix) {
             let queue = self.view.machines.get(&ix).map(|m| &m.queue);
             ends.retain(|(e, _)| queue.is_some_and(|q| q.contains(e)));
@@ -275,8 +279,8 @@
 
     /// Forgets what this controller knew of a machine as its holder.
     fn drop_machine(&mut self, ix: MachineIx) {
-        if let Some(rt) = self.rt.remove(&ix) {
-            self.count_running(&rt.legs, false);
+        if let Some(runtime) = self.runtime.remove(&ix) {
+            self.count_running(&runtime.legs, false);
         }
         self.ends.remove(&ix);
         for mv in self.moves.extract_if(.., |mv| mv.victim == ix) {
@@ -287,7 +291,7 @@
     }
 
     /// Keeps count of the tasks that run on the machines held.
-    pub(crate) fn count_running(&mut self, legs: &HashMap<TaskIx, LegRt>, more: bool) {
+    pub(crate) fn count_running(&mut self, legs: &HashMap<TaskIx, TaskRuntime>, more: bool) {
         for (task, _) in legs.iter().filter(|l| l.1.status == LegStatus::Running) {
             let n = self.running.entry(task.job).or_default();
             if more {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,7 +13,7 @@
 mod splitting;
 
 use crate::clock::Ms;
-use crate::leader::LeadRt;
+use crate::leader::LeaderState;
 use crate::names::{ClassIx, FrameIx, HostIx, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::queue::{Needs, Room};
 use crate::ranges::RangeSet;
@@ -140,7 +140,7 @@
 
 /// A task as the last report shows it.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct LegRt {
+pub(crate) struct TaskRuntime {
     pub attempt: u64,
     pub status: LegStatus,
     /// When it was first seen running.
@@ -149,7 +149,7 @@
 
 /// What a holder knows of a machine under one token.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Rt {
+pub(crate) struct MachineRuntime {
     pub token: u64,
     /// When the grant became known.
     pub since: Ms,
@@ -162,7 +162,7 @@
     pub heard: Option<Ms>,
     pub last_ok: Option<Ms>,
     pub recall_at: Option<Ms>,
-    pub legs: HashMap<TaskIx, LegRt>,
+    pub legs: HashMap<TaskIx, TaskRuntime>,
     /// Launched in the answer to the newest report.
     pub launched: HashSet<TaskIx>,
     /// Jobs that failed here one after the other.
@@ -185,7 +185,7 @@
     pub anew: bool,
 }
 
-impl Rt {
+impl MachineRuntime {
     /// Whether the machine executes what its holder tells it. Only such a machine is given tasks:
     /// one that reports but hears nothing, or of which only old copies of reports come, never
     /// shows our token, or shows launches that do not appear.
@@ -211,7 +211,7 @@
 
 /// What is known of a peer.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct PeerRt {
+pub(crate) struct PeerState {
     pub heard: Option<Ms>,
     /// The life it spoke in.
     pub boot: Option<Boot>,
@@ -234,7 +234,7 @@
 }
 
 #[derive(Debug, Clone)]
-struct StrayRt {
+struct StrayState {
     first: Ms,
     last: Ms,
     /// Number of its newest report: copies of older ones do not count.
@@ -313,7 +313,7 @@
     lease_busy: bool,
     state_bad_since: Option<Ms>,
     pub(crate) rng: SmallRng,
-    pub(crate) rt: HashMap<MachineIx, Rt>,
+    pub(crate) runtime: HashMap<MachineIx, MachineRuntime>,
     /// Endings to be recorded, by the machine on which they were found out.
     ends: HashMap<MachineIx, Vec<(Entry, End)>>,
     /// Tasks that run on the machines held, by job.
@@ -337,10 +337,10 @@
     woken: Vec<MachineIx>,
     /// Nothing new is planned before the replica is at this revision.
     wait_ledger: u64,
-    pub(crate) peers: HashMap<HostIx, PeerRt>,
+    pub(crate) peers: HashMap<HostIx, PeerState>,
     /// When each controller's queue totals last arrived by way of the state service.
     signs: HashMap<HostIx, Ms>,
-    strays: HashMap<String, StrayRt>,
+    strays: HashMap<String, StrayState>,
     /// Jobs that were cancelled lately, and when that became known here.
     withdrawn: VecDeque<(Ms, String)>,
     /// Jobs that the replica shows as pending and a peer knows to be cancelled.
@@ -360,7 +360,7 @@
     /// When it may be told at the earliest.
     next_hasty: Ms,
     pub(crate) next_round: Ms,
-    pub(crate) lead: LeadRt,
+    pub(crate) lead: LeaderState,
     pub(crate) day_ms: u64,
     pub(crate) outbox: Vec<(HostIx, crate::wire::Agent)>,
     pub(crate) started: Option<Ms>,
@@ -416,7 +416,7 @@
             lease_busy: false,
             state_bad_since: None,
             rng,
-            rt: HashMap::new(),
+            runtime: HashMap::new(),
             ends: HashMap::new(),
             running: HashMap::new(),
             moves: Vec::new(),
@@ -445,7 +445,7 @@
             hasty: false,
             next_hasty: Ms(0),
             next_round: Ms(0),
-            lead: LeadRt::default(),
+            lead: LeaderState::default(),
             day_ms: 0,
             outbox: Vec::new(),
             started: None,
@@ -468,7 +468,7 @@
     fn log_metrics(&self) {
         let c = &self.counters;
         info!(
-            machines = self.rt.len(),
+            machines = self.runtime.len(),
             reports = c.reports,
             redirects = c.redirects,
             launches = c.launches,
@@ -568,14 +568,14 @@
             return 0.0;
         };
         let Some(size) = self.size(m) else { return 0.0 };
-        let rt = self.rt.get(&ix);
+        let runtime = self.runtime.get(&ix);
         let work: f64 = m
             .queue
             .iter()
             .filter_map(|e| {
                 let job = self.view.jobs.get(&e.task.job)?;
                 let run = self.run_s(job);
-                let leg = rt.and_then(|rt| rt.legs.get(&e.task));
+                let leg = runtime.and_then(|runtime| runtime.legs.get(&e.task));
                 let left = match leg {
                     Some(l) if l.status == LegStatus::Ended => 0.0,
                     Some(l) => {
@@ -608,15 +608,15 @@
         }
         let names = &self.view.names.machines;
         let mut loads: Vec<(f64, MachineIx)> = self
-            .rt
+            .runtime
             .keys()
             .map(|&m| ((self.queue_load(m, now) * 10.0).round() / 10.0, m))
             .collect();
         loads.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let mut record = LoadRecord {
-            n: loads.len(),
-            s: loads.iter().map(|l| l.0).sum(),
-            m: BTreeMap::new(),
+            count: loads.len(),
+            sum: loads.iter().map(|l| l.0).sum(),
+            machines: BTreeMap::new(),
         };
         // From both ends inwards, as far as the value has room: those in between neither give
         // nor take. A name, a number and what stands between them have 10 bytes to spare here.
@@ -635,7 +635,7 @@
                 break;
             };
             room = left;
-            record.m.insert(name.to_owned(), loads[at].0);
+            record.machines.insert(name.to_owned(), loads[at].0);
         }
         let key = load_key(self.my_name());
         let txn = Txn {
@@ -649,13 +649,13 @@
     pub(crate) fn machine_info(&self, ix: MachineIx, now: Ms) -> Option<MachineInfo> {
         let (_, grant) = self.view.holder(ix)?;
         if grant.host == self.me {
-            let rt = self.rt.get(&ix)?;
+            let runtime = self.runtime.get(&ix)?;
             return Some(MachineInfo {
-                age_ms: rt.heard.map(|h| now.since(h)),
-                obeys: rt.obeys(),
-                recalled: rt.recall_at.is_some(),
-                sick: self.unfit(rt, now),
-                anew: rt.anew,
+                age_ms: runtime.heard.map(|h| now.since(h)),
+                obeys: runtime.obeys(),
+                recalled: runtime.recall_at.is_some(),
+                sick: self.unfit(runtime, now),
+                anew: runtime.anew,
             });
         }
         let peer = self.peers.get(&grant.host)?;
@@ -754,13 +754,13 @@
     pub fn status_page(&self, now: Ms) -> serde_json::Value {
         let names = &self.view.names;
         let machines: BTreeMap<&str, serde_json::Value> = self
-            .rt
+            .runtime
             .iter()
-            .map(|(&m, rt)| {
+            .map(|(&m, runtime)| {
                 let queue = self.view.machines.get(&m).map_or(0, |m| m.queue.len());
                 let v = serde_json::json!({
-                    "token": rt.token, "fenced": rt.fenced, "lost": rt.lost, "sick": rt.sick,
-                    "silentMs": rt.heard.map(|h| now.since(h)), "tasks": rt.legs.len(),
+                    "token": runtime.token, "fenced": runtime.fenced, "lost": runtime.lost, "sick": runtime.sick,
+                    "silentMs": runtime.heard.map(|h| now.since(h)), "tasks": runtime.legs.len(),
                     "queue": queue, "load": self.queue_load(m, now),
                 });
                 (names.machines.name(m), v)
@@ -799,8 +799,8 @@
     }
 }
 
-fn leg_rt(leg: &crate::wire::Leg, running_since: Option<Ms>) -> LegRt {
-    LegRt {
+fn task_runtime(leg: &crate::wire::Leg, running_since: Option<Ms>) -> TaskRuntime {
+    TaskRuntime {
         attempt: leg.attempt,
         status: leg.status,
         running_since,
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -121,8 +121,8 @@
             return;
         }
         let record = OwnerRecord {
-            h: self.my_name().to_owned(),
-            b: self.boot.0,
+            host: self.my_name().to_owned(),
+            boot: self.boot.0,
         };
         let key = crate::view::LEAD;
         let txn = Txn {
@@ -269,9 +269,9 @@
         let since = |t: Ms| now.since(t);
         let fleet = long.then(|| FleetNews {
             machines: self
-                .rt
+                .runtime
                 .iter()
-                .map(|(&m, rt)| self.machine_news(m, rt, now))
+                .map(|(&m, runtime)| self.machine_news(m, runtime, now))
                 .collect(),
             running: self
                 .running
@@ -327,23 +327,28 @@
             .collect()
     }
 
-    pub(crate) fn machine_news(&self, m: MachineIx, rt: &Rt, now: Ms) -> MachineNews {
+    pub(crate) fn machine_news(
+        &self,
+        m: MachineIx,
+        runtime: &MachineRuntime,
+        now: Ms,
+    ) -> MachineNews {
         MachineNews {
             rig: self.view.names.machines.name(m).to_owned(),
-            age_ms: rt.heard.map(|h| now.since(h)),
-            obeys: rt.obeys(),
-            recalled: rt.recall_at.is_some(),
-            sick: self.unfit(rt, now),
-            anew: rt.anew,
+            age_ms: runtime.heard.map(|h| now.since(h)),
+            obeys: runtime.obeys(),
+            recalled: runtime.recall_at.is_some(),
+            sick: self.unfit(runtime, now),
+            anew: runtime.anew,
             load: self.queue_load(m, now),
         }
     }
 
     /// Whether a machine is to be replaced: it fails what it starts, or has heard nothing of what
     /// it is told for a whole lease.
-    pub(crate) fn unfit(&self, rt: &Rt, now: Ms) -> bool {
+    pub(crate) fn unfit(&self, runtime: &MachineRuntime, now: Ms) -> bool {
         let lease = self.settings.worker_gone_ms();
-        rt.sick || rt.deaf.is_some_and(|since| now.since(since) > lease)
+        runtime.sick || runtime.deaf.is_some_and(|since| now.since(since) > lease)
     }
 
     /// What a peer says, in a request or in the answer to one.
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -22,14 +22,14 @@
 
 /// Whether a report without our token comes from a worker that has begun anew: it is not the
 /// first one, and the numbers rise as time goes on.
-fn begins_anew(rt: &mut Rt, r: &Report, now: Ms) -> bool {
+fn begins_anew(runtime: &mut MachineRuntime, r: &Report, now: Ms) -> bool {
     let number = (r.shift, r.tally);
-    match rt.low {
+    match runtime.low {
         Some((shift, tally, at)) if number > (shift, tally) && now.since(at) < 30_000 => {
             now.since(at) >= 400
         }
         _ => {
-            rt.low = Some((r.shift, r.tally, now));
+            runtime.low = Some((r.shift, r.tally, now));
             false
         }
     }
@@ -37,7 +37,7 @@
 
 impl Core {
     pub(crate) fn stray(&mut self, r: &Report, token: u64, now: Ms) {
-        let fresh = StrayRt {
+        let fresh = StrayState {
             first: now,
             last: now,
             newest: (0, 0),
@@ -97,14 +97,14 @@
             self.counters.redirects += 1;
             return Reply::Elsewhere(None);
         }
-        let mut rt = self.rt.remove(&ix).unwrap_or_default();
-        let reply = match self.judge(ix, &mut rt, &r, now) {
+        let mut runtime = self.runtime.remove(&ix).unwrap_or_default();
+        let reply = match self.judge(ix, &mut runtime, &r, now) {
             Worth::Nothing => Reply::Unavailable,
-            Worth::Revival => self.revive(ix, &mut rt, &r, grant.stamp, now),
+            Worth::Revival => self.revive(ix, &mut runtime, &r, grant.stamp, now),
             Worth::Answer => {
                 self.strays.remove(&r.rig);
-                let orders = self.answer(ix, &mut rt, &r, Token(grant.stamp), now);
-                rt.last_ok = Some(now);
+                let orders = self.answer(ix, &mut runtime, &r, Token(grant.stamp), now);
+                runtime.last_ok = Some(now);
                 self.counters.reports += 1;
                 Reply::Orders(Orders {
                     baton: grant.stamp,
@@ -112,38 +112,38 @@
                 })
             }
         };
-        self.rt.insert(ix, rt);
+        self.runtime.insert(ix, runtime);
         reply
     }
 
     /// What a report is worth. Reports may be copies from long ago, of this life of the worker or
     /// of an earlier one.
-    fn judge(&self, ix: MachineIx, rt: &mut Rt, r: &Report, now: Ms) -> Worth {
+    fn judge(&self, ix: MachineIx, runtime: &mut MachineRuntime, r: &Report, now: Ms) -> Worth {
         let number = (r.shift, r.tally);
-        if r.baton == rt.token {
+        if r.baton == runtime.token {
             // Made under this grant: the numbers tell which is the newest. A copy renews nothing
             // and proves nothing, and nobody waits for its answer.
-            return match (number > rt.newest, rt.lost) {
+            return match (number > runtime.newest, runtime.lost) {
                 (false, _) => Worth::Nothing,
                 (true, true) => Worth::Revival,
                 (true, false) => Worth::Answer,
             };
         }
-        if rt.fenced {
+        if runtime.fenced {
             // A worker never forgets a token, so this is a copy, or a worker that began anew.
             // Numbers cannot tell the lives of a worker apart, only a new grant can.
-            if begins_anew(rt, r, now) && !rt.anew {
+            if begins_anew(runtime, r, now) && !runtime.anew {
                 info!(rig = r.rig, "a worker began anew");
-                rt.anew = true;
+                runtime.anew = true;
             }
             return Worth::Nothing;
         }
-        if rt.lost {
+        if runtime.lost {
             return Worth::Revival;
         }
         // Until the machine obeys, our answers may or may not reach it. When it still does not
         // after all this time, they end, so that the lease of what it might run ends too.
-        if self.view.lists_any(ix) && now.since(rt.since) > self.settings.stranger_gone_ms() {
+        if self.view.lists_any(ix) && now.since(runtime.since) > self.settings.stranger_gone_ms() {
             return Worth::Nothing;
         }
         Worth::Answer
@@ -154,7 +154,7 @@
     pub(crate) fn revive(
         &mut self,
         ix: MachineIx,
-        rt: &mut Rt,
+        runtime: &mut MachineRuntime,
         r: &Report,
         token: u64,
         now: Ms,
@@ -163,17 +163,17 @@
             return Reply::Unavailable;
         }
         info!(rig = r.rig, "a machine that was given up is back");
-        *rt = Rt {
+        *runtime = MachineRuntime {
             token,
             since: now,
             newest: if r.baton == token {
                 (r.shift, r.tally)
             } else {
-                rt.newest
+                runtime.newest
             },
             heard: Some(now),
             last_ok: Some(now),
-            ..Rt::default()
+            ..MachineRuntime::default()
         };
         Reply::Orders(Orders {
             baton: token,
@@ -184,7 +184,7 @@
     pub(crate) fn answer(
         &mut self,
         ix: MachineIx,
-        rt: &mut Rt,
+        runtime: &mut MachineRuntime,
         r: &Report,
         token: Token,
         now: Ms,
@@ -193,8 +193,8 @@
         let Some(machine) = self.view.machines.get(&ix) else {
             return orders;
         };
-        self.note_hearing(rt, r, now);
-        if rt.heard.is_none() {
+        self.note_hearing(runtime, r, now);
+        if runtime.heard.is_none() {
             info!(
                 rig = r.rig,
                 token = token.0,
@@ -202,34 +202,37 @@
                 "machine reports to us"
             );
         }
-        if r.shift > rt.newest.0 && rt.newest.0 > 0 {
+        if r.shift > runtime.newest.0 && runtime.newest.0 > 0 {
             warn!(rig = r.rig, shift = r.shift, "machine began a new session");
         }
         let number = (r.shift, r.tally);
         if r.baton == token.0 {
-            rt.newest = number;
-            self.hasty |= !rt.fenced;
-            rt.fenced = true;
-            rt.heard = Some(now);
-        } else if number > rt.unproven {
+            runtime.newest = number;
+            self.hasty |= !runtime.fenced;
+            runtime.fenced = true;
+            runtime.heard = Some(now);
+        } else if number > runtime.unproven {
             // A copy does not make a machine seem alive.
-            rt.unproven = number;
-            rt.heard = Some(now);
+            runtime.unproven = number;
+            runtime.heard = Some(now);
         }
-        rt.recall_at = r
+        runtime.recall_at = r
             .recall_s
             .filter(|s| s.is_finite())
             .map(|s| now.plus((s.max(0.0) * 1000.0) as u64));
-        rt.launched.clear();
-        rt.waits = false;
-        let before = std::mem::take(&mut rt.legs);
+        runtime.launched.clear();
+        runtime.waits = false;
+        let before = std::mem::take(&mut runtime.legs);
         let ends_before = self.ends.get(&ix).map_or(&[][..], Vec::as_slice);
         let ended_before = |e: &Entry| ends_before.iter().any(|x| x.0 == *e);
         let queue: HashMap<TaskIx, u64> =
             machine.queue.iter().map(|e| (e.task, e.attempt)).collect();
         // Everything the report shows is taken in, whether or not the machine's type is known: after
         // a restart while the cloud is away, what seemed absent could be stolen and run twice.
-        let leaving = machine.leaving || rt.sick || rt.recall_at.is_some() || rt.deaf.is_some();
+        let leaving = machine.leaving
+            || runtime.sick
+            || runtime.recall_at.is_some()
+            || runtime.deaf.is_some();
         let mut clears: Vec<Order> = Vec::new();
         let mut used = Room::default();
         let mut new_ends: Vec<(Entry, End)> = Vec::new();
@@ -258,7 +261,7 @@
                     });
                 }
                 if let Some(task) = task {
-                    rt.legs.insert(task, leg_rt(leg, None));
+                    runtime.legs.insert(task, task_runtime(leg, None));
                 }
                 continue;
             };
@@ -270,7 +273,7 @@
             let since = was
                 .and_then(|b| b.running_since)
                 .or((leg.status == LegStatus::Running).then_some(now));
-            rt.legs.insert(task, leg_rt(leg, since));
+            runtime.legs.insert(task, task_runtime(leg, since));
             if was.is_none_or(|b| b.status != leg.status) {
                 debug!(leg = leg.leg, rig = r.rig, status = ?leg.status, cause = ?leg.cause, "reported");
             }
@@ -295,7 +298,7 @@
             let Some(job) = job else { continue };
             let stop = if self.is_over(task.job, job) {
                 Some(0.0)
-            } else if let Some(recall) = rt.recall_at {
+            } else if let Some(recall) = runtime.recall_at {
                 let left = recall.since(now) as f64 / 1000.0;
                 let saves = job.spec.waypoint_s > 0.0;
                 let ran = since.map_or(0, |s| now.since(s)) as f64 / 1000.0;
@@ -310,7 +313,7 @@
                 }
             } else if machine.evict.contains(&entry) {
                 (leg.status != LegStatus::Flushing).then_some(job.spec.stow_s + 5.0)
-            } else if machine.leaving || rt.sick {
+            } else if machine.leaving || runtime.sick {
                 (leg.status != LegStatus::Flushing && job.spec.waypoint_s > 0.0)
                     .then_some(job.spec.stow_s + 5.0)
             } else {
@@ -324,28 +327,28 @@
                 });
             }
         }
-        let (launches, freed) = self.launch(ix, rt, used, leaving);
+        let (launches, freed) = self.launch(ix, runtime, used, leaving);
         orders.extend(launches);
         new_ends.extend(freed);
         // A cleared task is a change, and every change is one more report: it waits for a command
         // that changes the machine's tasks anyway, but not for long.
         if clears.is_empty() {
-            rt.clear_since = None;
+            runtime.clear_since = None;
         } else if !orders.is_empty()
             || clears.len() >= CLEARED
-            || now.since(*rt.clear_since.get_or_insert(now)) > CLEAR_MS
+            || now.since(*runtime.clear_since.get_or_insert(now)) > CLEAR_MS
         {
-            rt.clear_since = None;
+            runtime.clear_since = None;
             orders.append(&mut clears);
         }
         self.count_running(&before, false);
-        self.count_running(&rt.legs, true);
+        self.count_running(&runtime.legs, true);
         for (class, ratio) in ratios {
             let r = self.ratios.entry(class).or_insert(ratio.clamp(0.2, 5.0));
             *r += (ratio.clamp(0.2, 5.0) - *r) * 0.05;
         }
         for (entry, end) in new_ends {
-            self.note_end(ix, entry, end, rt, now);
+            self.note_end(ix, entry, end, runtime, now);
         }
         orders
     }
@@ -355,7 +358,7 @@
     fn launch(
         &mut self,
         ix: MachineIx,
-        rt: &mut Rt,
+        runtime: &mut MachineRuntime,
         mut used: Room,
         leaving: bool,
     ) -> (Vec<Order>, Vec<(Entry, End)>) {
@@ -371,7 +374,7 @@
         });
         let mut full = leaving;
         for e in heads {
-            let on_it = rt.legs.contains_key(&e.task) || rt.launched.contains(&e.task);
+            let on_it = runtime.legs.contains_key(&e.task) || runtime.launched.contains(&e.task);
             let ended = self.ended(ix, e);
             let pending = self
                 .view
@@ -379,7 +382,7 @@
                 .get(&e.task.job)
                 .filter(|j| !self.is_over(e.task.job, j));
             let Some(job) = pending else {
-                if !on_it && rt.fenced && !ended {
+                if !on_it && runtime.fenced && !ended {
                     freed.push((*e, End::Free));
                 }
                 continue;
@@ -388,7 +391,7 @@
                 continue;
             }
             if leaving || machine.evict.contains(e) {
-                if rt.fenced {
+                if runtime.fenced {
                     freed.push((*e, End::Free));
                 }
                 continue;
@@ -399,7 +402,7 @@
                 continue;
             }
             used.add(&need, 1.0);
-            rt.launched.insert(e.task);
+            runtime.launched.insert(e.task);
             self.counters.launches += 1;
             let leg = self.view.names.leg(e.task);
             debug!(leg, rig = self.view.names.machines.name(ix), "launching");
@@ -418,14 +421,20 @@
     /// worker's lease counts from when it sent the report.
     pub fn may_wait(&mut self, rig: &str, number: (u64, u64), now: Ms) -> Option<u64> {
         let ix = self.view.names.machines.get(rig)?;
-        let rt = self.rt.get(&ix)?;
+        let runtime = self.runtime.get(&ix)?;
         let machine = self.view.machines.get(&ix)?;
-        let idle = rt.legs.values().all(|l| l.status == LegStatus::Ended);
-        let usable = rt.obeys() && !machine.leaving && !rt.sick && rt.recall_at.is_none();
-        if !idle || !usable || !rt.launched.is_empty() || rt.newest != number || self.slow(now) {
+        let idle = runtime.legs.values().all(|l| l.status == LegStatus::Ended);
+        let usable =
+            runtime.obeys() && !machine.leaving && !runtime.sick && runtime.recall_at.is_none();
+        if !idle
+            || !usable
+            || !runtime.launched.is_empty()
+            || runtime.newest != number
+            || self.slow(now)
+        {
             return None;
         }
-        self.rt.get_mut(&ix)?.waits = true;
+        self.runtime.get_mut(&ix)?.waits = true;
         Some(self.settings.answer_wait_ms())
     }
 
@@ -447,28 +456,28 @@
         if grant.host != self.me || grant.boot != self.boot || !self.has_authority(now) {
             return Reply::Elsewhere(None);
         }
-        let Some(mut rt) = self.rt.remove(&ix) else {
+        let Some(mut runtime) = self.runtime.remove(&ix) else {
             return Reply::Unavailable;
         };
         // Under another token, or after another report, nobody waits for this answer any more.
-        let stands = rt.token == grant.stamp && rt.newest == number && rt.obeys();
+        let stands = runtime.token == grant.stamp && runtime.newest == number && runtime.obeys();
         let machine = self.view.machines.get(&ix);
-        let leaving = machine.is_none_or(|m| m.leaving) || rt.sick;
+        let leaving = machine.is_none_or(|m| m.leaving) || runtime.sick;
         if stands {
-            rt.waits = false;
+            runtime.waits = false;
         }
         let reply = if stands && !leaving {
             let mut used = Room::default();
-            for job in rt
+            for job in runtime
                 .launched
                 .iter()
                 .filter_map(|t| self.view.jobs.get(&t.job))
             {
                 used.add(&job.room(), 1.0);
             }
-            let (orders, freed) = self.launch(ix, &mut rt, used, false);
+            let (orders, freed) = self.launch(ix, &mut runtime, used, false);
             for (entry, end) in freed {
-                self.note_end(ix, entry, end, &mut rt, now);
+                self.note_end(ix, entry, end, &mut runtime, now);
             }
             Reply::Orders(Orders {
                 baton: grant.stamp,
@@ -477,16 +486,20 @@
         } else {
             Reply::Unavailable
         };
-        self.rt.insert(ix, rt);
+        self.runtime.insert(ix, runtime);
         reply
     }
 
     /// Whether answers may well be late because this controller is: it was kept from its own
     /// work, or a good part of its machines seem to miss answers at the same time.
     fn slow(&self, now: Ms) -> bool {
-        let missing = self.rt.values().filter(|rt| rt.unheard > 0).count();
+        let missing = self
+            .runtime
+            .values()
+            .filter(|runtime| runtime.unheard > 0)
+            .count();
         self.stalled.is_some_and(|at| now.since(at) < 15_000)
-            || missing > (self.rt.len() / 10).max(2)
+            || missing > (self.runtime.len() / 10).max(2)
     }
 
     /// Finds out whether answers reach a machine whose reports arrive.
@@ -494,47 +507,57 @@
     /// A worker that had our answer comes back to us with its very next report and without
     /// waiting for the answer's time to run out; one that had none goes round the controllers,
     /// shows no launch, and loses its lease although we answer.
-    fn note_hearing(&self, rt: &mut Rt, r: &Report, now: Ms) {
-        let Some(heard) = rt.heard else { return };
-        let next = r.shift == rt.newest.0 && r.tally == rt.newest.1 + 1;
+    fn note_hearing(&self, runtime: &mut MachineRuntime, r: &Report, now: Ms) {
+        let Some(heard) = runtime.heard else { return };
+        let next = r.shift == runtime.newest.0 && r.tally == runtime.newest.1 + 1;
         let in_time = now.since(heard) < self.settings.report_due_ms().max(ANSWER_WAIT_MS);
-        let shown = rt.launched.iter().all(|t| {
+        let shown = runtime.launched.iter().all(|t| {
             let leg = self.view.names.leg(*t);
             r.legs.iter().any(|l| l.leg == leg)
         });
-        let obeyed = r.baton == rt.token;
+        let obeyed = r.baton == runtime.token;
         if next && in_time && shown && obeyed {
-            rt.unheard = 0;
-            rt.heard_again += 1;
-            if rt.heard_again >= 3 && rt.deaf.take().is_some() {
+            runtime.unheard = 0;
+            runtime.heard_again += 1;
+            if runtime.heard_again >= 3 && runtime.deaf.take().is_some() {
                 info!(rig = r.rig, "answers reach the machine again");
             }
             return;
         }
-        rt.heard_again = 0;
-        let renewed = rt
+        runtime.heard_again = 0;
+        let renewed = runtime
             .last_ok
             .is_some_and(|ok| now.since(ok) < self.settings.worker_gone_ms());
-        if r.shift > rt.newest.0 && renewed {
-            rt.unheard += 2;
-        } else if !shown || !in_time || (!obeyed && rt.last_ok.is_some_and(|ok| ok > rt.since)) {
-            rt.unheard += 1;
+        if r.shift > runtime.newest.0 && renewed {
+            runtime.unheard += 2;
+        } else if !shown
+            || !in_time
+            || (!obeyed && runtime.last_ok.is_some_and(|ok| ok > runtime.since))
+        {
+            runtime.unheard += 1;
         }
-        if rt.unheard >= 3 && rt.deaf.is_none() && !self.slow(now) {
+        if runtime.unheard >= 3 && runtime.deaf.is_none() && !self.slow(now) {
             warn!(
                 rig = r.rig,
                 "reports come, but answers do not reach the machine"
             );
-            rt.deaf = Some(now);
+            runtime.deaf = Some(now);
         }
     }
 
-    pub(crate) fn note_end(&mut self, ix: MachineIx, entry: Entry, end: End, rt: &mut Rt, now: Ms) {
+    pub(crate) fn note_end(
+        &mut self,
+        ix: MachineIx,
+        entry: Entry,
+        end: End,
+        runtime: &mut MachineRuntime,
+        now: Ms,
+    ) {
         self.ends.entry(ix).or_default().push((entry, end));
         let job = entry.task.job;
         match end {
             End::Done => {
-                rt.failed.clear();
+                runtime.failed.clear();
                 self.fails.remove(&job);
                 // Others wait for it: the leader hears of its last endings soon.
                 self.hasty |= self.view.dependencies.is_needed(job);
@@ -546,16 +569,19 @@
                 });
                 f.count += 1;
                 f.last = now;
-                rt.failed.push(job);
+                runtime.failed.push(job);
                 // A machine is to blame when different jobs fail on it, or one that succeeds
                 // elsewhere; a job that has never succeeded may be broken itself.
-                let mut jobs = rt.failed.clone();
+                let mut jobs = runtime.failed.clone();
                 jobs.sort();
                 jobs.dedup();
                 let proven = self.view.jobs.get(&job).is_some_and(|j| !j.done.is_empty());
-                if rt.failed.len() >= 2 && (jobs.len() >= 2 || proven) && !rt.sick {
-                    rt.sick = true;
-                    warn!(failures = rt.failed.len(), "a machine fails what it starts");
+                if runtime.failed.len() >= 2 && (jobs.len() >= 2 || proven) && !runtime.sick {
+                    runtime.sick = true;
+                    warn!(
+                        failures = runtime.failed.len(),
+                        "a machine fails what it starts"
+                    );
                 }
             }
             End::Free => {}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -127,10 +127,10 @@
 /// The record of a new job.
 pub fn new_record(spec: JobSpec, day_ms: u64) -> JobRecord {
     JobRecord {
-        s: spec,
-        st: JobStatus::Pending,
-        d: Default::default(),
-        t: day_ms,
+        spec,
+        status: JobStatus::Pending,
+        done: Default::default(),
+        submitted_ms: day_ms,
         ready_ms: None,
     }
 }
@@ -152,7 +152,7 @@
 /// same key, so one of the two comes first for everybody. Values may have so many bytes.
 pub fn cancel(name: &str, record: &JobRecord, stamp: u64, value_bytes: usize) -> Txn {
     let mut record = record.clone();
-    record.st = JobStatus::Withdrawn;
+    record.status = JobStatus::Withdrawn;
     record.shorten(value_bytes);
     Txn {
         guards: vec![Guard {
--- a/src/jobs/chained.rs
+++ b/src/jobs/chained.rs
@@ -134,9 +134,9 @@
     }
     let (found, most) = (predecessors.len(), most_open(settings));
     let waiting = WaitingRecord {
-        spec: record.s,
+        spec: record.spec,
         status: JobStatus::Pending,
-        submitted_ms: record.t,
+        submitted_ms: record.submitted_ms,
         predecessors: NameList::from_iter(predecessors),
     };
     let change = put(&waiting_key(name), &waiting, None);
@@ -151,7 +151,7 @@
 
 /// The transaction that accepts a job which is cancelled already.
 fn accept_withdrawn(name: &str, mut record: JobRecord) -> Txn {
-    record.st = JobStatus::Withdrawn;
+    record.status = JobStatus::Withdrawn;
     Txn {
         guards: absent(name),
         then: vec![put(&past_key(name), &record, None)],
--- a/src/jobs/chained/tests.rs
+++ b/src/jobs/chained/tests.rs
@@ -114,6 +114,6 @@
     );
     assert_eq!(
         (read.spec, read.submitted_ms),
-        (record().s, 1_700_000_000_000)
+        (record().spec, 1_700_000_000_000)
     );
 }
--- a/src/leader/chains.rs
+++ b/src/leader/chains.rs
@@ -7,10 +7,10 @@
 /// The ordinary job, or the archived one, that a waiting job becomes.
 fn record_of(waiting: &WaitingRecord, status: JobStatus, ready_ms: Option<u64>) -> JobRecord {
     JobRecord {
-        s: waiting.spec.clone(),
-        st: status,
-        d: RangeSet::new(),
-        t: waiting.submitted_ms,
+        spec: waiting.spec.clone(),
+        status,
+        done: RangeSet::new(),
+        submitted_ms: waiting.submitted_ms,
         ready_ms,
     }
 }
--- a/src/leader/grants.rs
+++ b/src/leader/grants.rs
@@ -144,11 +144,11 @@
             let key = grant_key(id);
             txn.guards.push(self.guard(&key));
             let record = OwnerRecord {
-                h: self.view.names.hosts.name(host).to_owned(),
-                b: node.boot.0,
+                host: self.view.names.hosts.name(host).to_owned(),
+                boot: node.boot.0,
             };
             txn.then.push(put(&key, &record, Some(node.permit)));
-            info!(block = id.0, holder = record.h, why, "granting");
+            info!(block = id.0, holder = record.host, why, "granting");
         }
         Some(txn)
     }
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -43,7 +43,7 @@
 
 /// What a leader remembers of one term; all of it can be found out anew.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct LeadRt {
+pub(crate) struct LeaderState {
     term: Option<Term>,
     since: Ms,
     /// Since when the present leader seems to be gone.
@@ -106,7 +106,7 @@
     all: Vec<(MachineIx, f64)>,
 }
 
-impl LeadRt {
+impl LeaderState {
     /// Forgets jobs whose indices may come back as other jobs.
     pub(crate) fn forget_jobs(&mut self, released: &HashSet<JobIx>) {
         self.served.retain(|j, _| !released.contains(j));
@@ -130,9 +130,9 @@
             if self.lead.term.is_some() {
                 info!("no longer leading");
                 let round = self.lead.round.take();
-                self.lead = LeadRt {
+                self.lead = LeaderState {
                     round,
-                    ..LeadRt::default()
+                    ..LeaderState::default()
                 };
             }
             return;
@@ -140,11 +140,11 @@
         if self.lead.term != Some(term) {
             info!(term = term.0, "leading");
             let round = self.lead.round.take();
-            self.lead = LeadRt {
+            self.lead = LeaderState {
                 term: Some(term),
                 since: now,
                 round,
-                ..LeadRt::default()
+                ..LeaderState::default()
             };
         }
         if now >= self.lead.next_notes {
@@ -170,7 +170,9 @@
 
     /// Number of tasks on a machine as its last report to this controller shows.
     pub fn tasks_seen(&self, ix: MachineIx) -> usize {
-        self.rt.get(&ix).map_or(0, |rt| rt.legs.len())
+        self.runtime
+            .get(&ix)
+            .map_or(0, |runtime| runtime.legs.len())
     }
 }
 
--- a/src/leader/rounds.rs
+++ b/src/leader/rounds.rs
@@ -40,7 +40,7 @@
                 }
             }
         }
-        let mine: Vec<MachineIx> = self.rt.keys().copied().collect();
+        let mine: Vec<MachineIx> = self.runtime.keys().copied().collect();
         for &m in &mine {
             let load = self.queue_load(m, now);
             count += 1;
@@ -94,7 +94,7 @@
         let packs = &round.packs;
         round
             .victims
-            .retain(|(m, _)| packs.contains_key(m) || !self.rt.contains_key(m));
+            .retain(|(m, _)| packs.contains_key(m) || !self.runtime.contains_key(m));
         // The lightest ask first, and no more is asked for than the victims may have to give.
         let mut thieves: Vec<(MachineIx, u32)> =
             round.steals.iter().map(|(&m, &n)| (m, n)).collect();
@@ -150,11 +150,11 @@
 
     /// Tasks that may move, with their loads, the last of the queue first.
     pub(crate) fn movable(&self, ix: MachineIx) -> Vec<(Entry, f64)> {
-        let (Some(m), Some(rt)) = (self.view.machines.get(&ix), self.rt.get(&ix)) else {
+        let (Some(m), Some(runtime)) = (self.view.machines.get(&ix), self.runtime.get(&ix)) else {
             return Vec::new();
         };
         // Only a machine that obeys our token is sure not to start what leaves its queue.
-        let Some(size) = self.size(m).filter(|_| rt.fenced && !rt.lost) else {
+        let Some(size) = self.size(m).filter(|_| runtime.fenced && !runtime.lost) else {
             return Vec::new();
         };
         m.queue
@@ -227,7 +227,7 @@
         let Some(ix) = self.view.names.machines.get(to) else {
             return;
         };
-        if !self.rt.contains_key(&ix) || !self.has_authority(now) {
+        if !self.runtime.contains_key(&ix) || !self.has_authority(now) {
             return;
         }
         let replies = self.receive(ix, agent, now);
--- a/src/records.rs
+++ b/src/records.rs
@@ -17,13 +17,17 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// Specification.
-    pub s: JobSpec,
+    #[serde(rename = "s")]
+    pub spec: JobSpec,
     /// State: pending, done or withdrawn.
-    pub st: JobStatus,
+    #[serde(rename = "st")]
+    pub status: JobStatus,
     /// Tasks done.
-    pub d: RangeSet,
+    #[serde(rename = "d")]
+    pub done: RangeSet,
     /// Time of day of the submission, ms.
-    pub t: u64,
+    #[serde(rename = "t")]
+    pub submitted_ms: u64,
     /// Time of day, ms, at which the last job that this one needed was done. Absent for a job that
     /// waited for none; the version before format 2 does not know it and may drop it.
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
@@ -37,16 +41,16 @@
     /// earlier, higher limit allowed a larger value. Nobody needs any more where such a job may run,
     /// and which of its tasks were done is for display only.
     pub fn shorten(&mut self, most_bytes: usize) {
-        let over = self.st != JobStatus::Pending;
+        let over = self.status != JobStatus::Pending;
         let too_large = |record: &Self| Json::of(record).size() > most_bytes;
         if !over || !too_large(self) {
             return;
         }
-        if self.st == JobStatus::Withdrawn {
-            self.d = RangeSet::all(self.d.len());
+        if self.status == JobStatus::Withdrawn {
+            self.done = RangeSet::all(self.done.len());
         }
         if too_large(self) {
-            (self.s.frames, self.s.yard) = (None, None);
+            (self.spec.frames, self.spec.yard) = (None, None);
         }
     }
 }
@@ -117,28 +121,28 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct MachineRecord {
     /// Its kind: place in the block's table.
-    pub k: usize,
+    pub kind: usize,
     /// Whether it is being given back: nothing new is bound to it.
-    pub x: bool,
+    pub leaving: bool,
     /// Bound tasks.
-    pub q: Vec<Listing>,
+    pub queue: Vec<Listing>,
     /// Those of them that are to be stopped to make room.
-    pub p: Vec<Listing>,
+    pub evicted: Vec<Listing>,
 }
 
 /// A block of machines.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct BlockRecord {
     /// Kinds of machines: type, zone, spot.
-    pub k: Vec<(String, String, bool)>,
+    pub kinds: Vec<(String, String, bool)>,
     /// Jobs.
-    pub j: Vec<String>,
+    pub jobs: Vec<String>,
     /// What is added to each attempt.
-    pub a: u64,
+    pub first_attempt: u64,
     /// Machines by name.
-    pub m: BTreeMap<String, MachineRecord>,
+    pub machines: BTreeMap<String, MachineRecord>,
     /// Tasks that were done here and that their jobs' own keys need not show yet.
-    pub d: Vec<(usize, RangeSet)>,
+    pub done: Vec<(usize, RangeSet)>,
 }
 
 /// A block's value as it is written. Machines are separated by `;`: `8m-000231 0 3:0-3@c 5:7@e !
@@ -259,14 +263,14 @@
 
 impl MachineRecord {
     fn write(&self, out: &mut String) {
-        write_number(self.k as u64, 10, out);
-        if self.x {
+        write_number(self.kind as u64, 10, out);
+        if self.leaving {
             out.push('x');
         }
-        write_listings(&self.q, out);
-        if !self.p.is_empty() {
+        write_listings(&self.queue, out);
+        if !self.evicted.is_empty() {
             out.push_str(" !");
-            write_listings(&self.p, out);
+            write_listings(&self.evicted, out);
         }
     }
 
@@ -275,17 +279,17 @@
         let kind = parts.next()?;
         let number = kind.strip_suffix('x').unwrap_or(kind);
         let mut m = MachineRecord {
-            k: number.parse().ok()?,
-            x: number.len() < kind.len(),
-            q: Vec::new(),
-            p: Vec::new(),
+            kind: number.parse().ok()?,
+            leaving: number.len() < kind.len(),
+            queue: Vec::new(),
+            evicted: Vec::new(),
         };
         let mut stopped = false;
         for part in parts {
             match (part, stopped) {
                 ("!", false) => stopped = true,
-                (part, false) => m.q.push(read_listing(part)?),
-                (part, true) => m.p.push(read_listing(part)?),
+                (part, false) => m.queue.push(read_listing(part)?),
+                (part, true) => m.evicted.push(read_listing(part)?),
             }
         }
         Some(m)
@@ -295,14 +299,14 @@
 impl From<&BlockRecord> for Packed {
     fn from(b: &BlockRecord) -> Packed {
         let mut packed = Packed {
-            k: b.k.clone(),
-            j: write_names(&b.j),
-            a: b.a,
+            k: b.kinds.clone(),
+            j: write_names(&b.jobs),
+            a: b.first_attempt,
             m: String::new(),
             d: String::new(),
         };
         let mut names = Names::default();
-        for (name, m) in &b.m {
+        for (name, m) in &b.machines {
             if !packed.m.is_empty() {
                 packed.m.push(';');
             }
@@ -310,7 +314,7 @@
             packed.m.push(' ');
             m.write(&mut packed.m);
         }
-        for (job, tasks) in &b.d {
+        for (job, tasks) in &b.done {
             if !packed.d.is_empty() {
                 packed.d.push(' ');
             }
@@ -333,9 +337,9 @@
 
     fn try_from(p: Packed) -> Result<Self, BadText> {
         let mut b = BlockRecord {
-            k: p.k,
-            j: read_names(&p.j)?,
-            a: p.a,
+            kinds: p.k,
+            jobs: read_names(&p.j)?,
+            first_attempt: p.a,
             ..BlockRecord::default()
         };
         let mut before = String::new();
@@ -346,10 +350,10 @@
             };
             let (name, machine) = read().ok_or_else(|| bad(text))?;
             before.clone_from(&name);
-            b.m.insert(name, machine);
+            b.machines.insert(name, machine);
         }
         for text in parts(&p.d, ' ') {
-            b.d.push(read_tasks(text).ok_or_else(|| bad(text))?);
+            b.done.push(read_tasks(text).ok_or_else(|| bad(text))?);
         }
         Ok(b)
     }
@@ -372,29 +376,36 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadRecord {
     /// Number of machines.
-    pub n: usize,
+    #[serde(rename = "n")]
+    pub count: usize,
     /// Sum of their loads.
-    pub s: f64,
+    #[serde(rename = "s")]
+    pub sum: f64,
     /// The heaviest and the lightest of them.
-    pub m: BTreeMap<String, f64>,
+    #[serde(rename = "m")]
+    pub machines: BTreeMap<String, f64>,
 }
 
 /// Who leads, or who holds a block. The key's revision is the term or the token.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRecord {
     /// Controller.
-    pub h: String,
+    #[serde(rename = "h")]
+    pub host: String,
     /// Its incarnation.
-    pub b: u64,
+    #[serde(rename = "b")]
+    pub boot: u64,
 }
 
 /// A live controller, on its lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
     /// Incarnation.
-    pub b: u64,
+    #[serde(rename = "b")]
+    pub boot: u64,
     /// Lease.
-    pub l: u64,
+    #[serde(rename = "l")]
+    pub lease: u64,
     /// Format of stored values that it writes and reads; 0 of a version that does not say.
     #[serde(rename = "v", default)]
     pub format: u32,
--- a/src/records/tests.rs
+++ b/src/records/tests.rs
@@ -5,30 +5,32 @@
 fn machine(kind: usize, queue: &[(usize, &str, u64)]) -> MachineRecord {
     let listing = |&(j, tasks, a): &(usize, &str, u64)| (j, tasks.parse().expect("good"), a);
     MachineRecord {
-        k: kind,
-        x: false,
-        q: queue.iter().map(listing).collect(),
-        p: Vec::new(),
+        kind,
+        leaving: false,
+        queue: queue.iter().map(listing).collect(),
+        evicted: Vec::new(),
     }
 }
 
 #[test]
 fn a_block_reads_back_as_it_was_written() {
     let mut block = BlockRecord {
-        k: vec![("big".into(), "north hall".into(), true)],
-        j: vec!["wk-000412".into(), "wk-000398".into(), "wk-7".into()],
-        a: 4000,
+        kinds: vec![("big".into(), "north hall".into(), true)],
+        jobs: vec!["wk-000412".into(), "wk-000398".into(), "wk-7".into()],
+        first_attempt: 4000,
         ..BlockRecord::default()
     };
     let mut leaving = machine(0, &[(0, "0-3,9", 0), (2, "99999", 40)]);
-    leaving.x = true;
-    leaving.p = leaving.q[..1].to_vec();
-    block.m.insert("m-000231".into(), leaving);
-    block.m.insert("m-000240".into(), machine(11, &[]));
+    leaving.leaving = true;
+    leaving.evicted = leaving.queue[..1].to_vec();
+    block.machines.insert("m-000231".into(), leaving);
+    block.machines.insert("m-000240".into(), machine(11, &[]));
     for odd in ["m 1;x%20 ", "m-é1", "m-è2", ""] {
-        block.m.insert(odd.into(), machine(0, &[(1, "7", 1)]));
+        block
+            .machines
+            .insert(odd.into(), machine(0, &[(1, "7", 1)]));
     }
-    block.d.push((1, "0-40,50".parse().expect("good")));
+    block.done.push((1, "0-40,50".parse().expect("good")));
     let text = serde_json::to_string(&block).expect("json");
     assert!(
         text.contains(" 0x 0:0-3,9@0 2:255r@14 ! 0:0-3,9@0;640 11;"),
--- a/src/state.rs
+++ b/src/state.rs
@@ -105,7 +105,7 @@
         let mut found = Vec::new();
         for job in jobs {
             if let Ok(Some(record)) = self.archived(job, ARCHIVE_WAIT).await {
-                found.push((job.clone(), record.st));
+                found.push((job.clone(), record.status));
             }
         }
         found
--- a/src/view.rs
+++ b/src/view.rs
@@ -263,10 +263,10 @@
     /// The value to be stored, with other done ranges and state.
     pub fn record(&self, done: RangeSet, status: JobStatus) -> JobRecord {
         JobRecord {
-            s: (*self.spec).clone(),
-            st: status,
-            d: done,
-            t: self.submitted_ms,
+            spec: (*self.spec).clone(),
+            status,
+            done,
+            submitted_ms: self.submitted_ms,
             ready_ms: self.ready_ms,
         }
     }
@@ -471,8 +471,8 @@
         } else if let Some(host) = key.strip_prefix(NODES) {
             value.read::<NodeRecord>().map(|n| {
                 let node = NodeView {
-                    boot: Boot(n.b),
-                    permit: n.l,
+                    boot: Boot(n.boot),
+                    permit: n.lease,
                     stamp,
                     format: n.format,
                 };
@@ -494,13 +494,13 @@
         } else if let Some(host) = key.strip_prefix(LOADS) {
             value.read::<LoadRecord>().map(|r| {
                 let host = self.names.hosts.intern(host);
-                let named = r.m.iter();
+                let named = r.machines.iter();
                 let machines = named
                     .filter_map(|(m, l)| Some((self.names.machines.get(m)?, *l)))
                     .collect();
                 let loads = Loads {
-                    count: r.n,
-                    sum: r.s,
+                    count: r.count,
+                    sum: r.sum,
                     machines,
                 };
                 self.loads.insert(host, loads);
@@ -520,25 +520,29 @@
     fn put_owner(&mut self, value: &Json, stamp: u64) -> Result<Owner, serde_json::Error> {
         let r: OwnerRecord = value.read()?;
         Ok(Owner {
-            host: self.names.hosts.intern(&r.h),
-            boot: Boot(r.b),
+            host: self.names.hosts.intern(&r.host),
+            boot: Boot(r.boot),
             stamp,
         })
     }
 
     fn put_block(&mut self, id: BlockId, record: BlockRecord, bytes: usize, stamp: u64) {
         let before = self.blocks.remove(&id);
-        let jobs: Vec<JobIx> = record.j.iter().map(|j| self.names.jobs.intern(j)).collect();
+        let jobs: Vec<JobIx> = record
+            .jobs
+            .iter()
+            .map(|j| self.names.jobs.intern(j))
+            .collect();
         let kinds: Vec<(FrameIx, ZoneIx, bool)> = record
-            .k
+            .kinds
             .iter()
             .map(|(f, z, s)| (self.names.frames.intern(f), self.names.zones.intern(z), *s))
             .collect();
-        let mut machines = Vec::with_capacity(record.m.len());
-        for (name, m) in record.m {
+        let mut machines = Vec::with_capacity(record.machines.len());
+        for (name, m) in record.machines {
             let ix = self.names.machines.intern(&name);
             machines.push(ix);
-            let Some(&(frame, zone, spot)) = kinds.get(m.k) else {
+            let Some(&(frame, zone, spot)) = kinds.get(m.kind) else {
                 tracing::error!(block = id.0, rig = name, "a machine of no kind");
                 continue;
             };
@@ -547,14 +551,14 @@
                 frame,
                 zone,
                 spot,
-                leaving: m.x,
-                queue: ungroup(&m.q, record.a, &jobs),
-                evict: ungroup(&m.p, record.a, &jobs),
+                leaving: m.leaving,
+                queue: ungroup(&m.queue, record.first_attempt, &jobs),
+                evict: ungroup(&m.evicted, record.first_attempt, &jobs),
             };
             self.put_machine(ix, Some(machine));
         }
         let done: Vec<(JobIx, RangeSet)> = record
-            .d
+            .done
             .into_iter()
             .filter_map(|(j, tasks)| Some((*jobs.get(j)?, tasks)))
             .collect();
@@ -636,40 +640,40 @@
 
     fn put_job(&mut self, name: &str, r: JobRecord, stamp: u64) {
         let ix = self.names.jobs.intern(name);
-        if r.st == JobStatus::Withdrawn {
+        if r.status == JobStatus::Withdrawn {
             self.touched.withdrawn.push(ix);
             self.withdraw_descendants(ix);
         }
         if let Some(job) = self.jobs.get_mut(&ix) {
             // The specification never changes.
             job.stamp = stamp;
-            job.status = r.st;
-            job.done.union(&r.d);
-            job.stored = r.d;
+            job.status = r.status;
+            job.done.union(&r.done);
+            job.stored = r.done;
             return;
         }
-        let mut done = r.d.clone();
+        let mut done = r.done.clone();
         if let Some(noted) = self.noted.get(&ix) {
             done.union(&noted.done);
         }
         let names = &mut self.names;
         let job = Job {
             stamp,
-            team: names.teams.intern(&r.s.crew),
-            class: names.classes.intern(&r.s.route),
-            image: names.images.intern(&r.s.kit),
+            team: names.teams.intern(&r.spec.crew),
+            class: names.classes.intern(&r.spec.route),
+            image: names.images.intern(&r.spec.kit),
             frames: r
-                .s
+                .spec
                 .frames
                 .as_ref()
                 .map(|f| f.iter().map(|f| names.frames.intern(f)).collect()),
-            zone: r.s.yard.as_ref().map(|y| names.zones.intern(y)),
-            status: r.st,
+            zone: r.spec.yard.as_ref().map(|y| names.zones.intern(y)),
+            status: r.status,
             done,
-            stored: r.d,
-            submitted_ms: r.t,
+            stored: r.done,
+            submitted_ms: r.submitted_ms,
             ready_ms: r.ready_ms,
-            spec: Arc::new(r.s),
+            spec: Arc::new(r.spec),
             bytes: 0,
         };
         let job = Job {
@@ -731,7 +735,7 @@
         let mut jobs = Table::default();
         let mut kinds = Table::default();
         let queues = || draft.machines.values().flat_map(|m| &m.queue);
-        record.a = queues().map(|e| e.attempt).min().unwrap_or(0);
+        record.first_attempt = queues().map(|e| e.attempt).min().unwrap_or(0);
         // A job is pending until its key says otherwise, and gone once it is archived: by then
         // nobody asks for its tasks any more. Both last for ever.
         let done: Vec<(JobIx, RangeSet)> = draft
@@ -758,20 +762,20 @@
             let mut listed = m.evict.clone();
             listed.retain(|e| m.queue.contains(e));
             let stored = MachineRecord {
-                k: kinds.place((m.frame, m.zone, m.spot)),
-                x: m.leaving,
-                q: group(&m.queue, record.a, &mut jobs),
-                p: group(&listed, record.a, &mut jobs),
+                kind: kinds.place((m.frame, m.zone, m.spot)),
+                leaving: m.leaving,
+                queue: group(&m.queue, record.first_attempt, &mut jobs),
+                evicted: group(&listed, record.first_attempt, &mut jobs),
             };
             record
-                .m
+                .machines
                 .insert(self.names.machines.name(ix).to_owned(), stored);
         }
         let done = done.into_iter().map(|(j, tasks)| (jobs.place(j), tasks));
-        record.d = done.collect();
+        record.done = done.collect();
         let names = &self.names;
-        record.j = jobs.keys(|&j| names.jobs.name(j).to_owned());
-        record.k = kinds.keys(|&(f, z, s)| {
+        record.jobs = jobs.keys(|&j| names.jobs.name(j).to_owned());
+        record.kinds = kinds.keys(|&(f, z, s)| {
             (
                 names.frames.name(f).to_owned(),
                 names.zones.name(z).to_owned(),
--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -211,7 +211,7 @@
     let cancel_s = w.settings.platform.settings.workers.cancel_s;
     w.run((cancel_s * 1000.0) as u64);
     assert_eq!(w.running(), 0);
-    assert_eq!(w.job(&job).map(|j| j.st), Some(JobStatus::Withdrawn));
+    assert_eq!(w.job(&job).map(|j| j.status), Some(JobStatus::Withdrawn));
     w.assert_kept();
 }
 
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -40,7 +40,7 @@
     let archived = |w: &World, j: &String| w.state.value(&past_key(j)).is_some();
     w.until(120_000, "archived", |w| jobs.iter().all(|j| archived(w, j)));
     for job in jobs {
-        assert_eq!(w.job(job).map(|j| j.st), Some(JobStatus::Withdrawn));
+        assert_eq!(w.job(job).map(|j| j.status), Some(JobStatus::Withdrawn));
     }
 }
 
@@ -231,7 +231,10 @@
             }
             let i = seed as usize % 3;
             match w.cancel_through(i, &first) {
-                Outcome::Done(_) if w.job(&first).is_some_and(|j| j.st == JobStatus::Withdrawn) => {
+                Outcome::Done(_)
+                    if w.job(&first)
+                        .is_some_and(|j| j.status == JobStatus::Withdrawn) =>
+                {
                     all_withdrawn(&mut w, &[first, next.clone()]);
                     assert_eq!(w.starts_of(&next), 0);
                 }
@@ -363,7 +366,7 @@
         let next = w.chain(2, w.spec(1), &[&first]);
         w.run(3000);
         let mut record = w.job(&first).expect("known");
-        record.st = status;
+        record.status = status;
         let value = serde_json::to_value(&record).expect("json");
         w.state.overwrite(&past_key(&first), &value);
         w.state.forget(&job_key(&first));
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -317,5 +317,5 @@
     reads::<production::Job>("qb/job/wk-000001", &value);
     value.as_object_mut().expect("an object").remove("r");
     let read: JobRecord = serde_json::from_value(value).expect("read");
-    assert_eq!((read.ready_ms, read.t), (None, 5000));
+    assert_eq!((read.ready_ms, read.submitted_ms), (None, 5000));
 }
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -235,7 +235,10 @@
         w.start(leader);
         w.run_asking(6000, &jobs);
     }
-    let all: u32 = jobs.iter().map(|j| w.job(j).expect("known").s.legs).sum();
+    let all: u32 = jobs
+        .iter()
+        .map(|j| w.job(j).expect("known").spec.legs)
+        .sum();
     all_once(&mut w, &jobs, all as usize);
     w.run_asking(15_000, &jobs);
     w.assert_kept();
@@ -545,7 +548,7 @@
         for i in 0..3 {
             w.ask(i, &job);
         }
-        let outcome = match record.st {
+        let outcome = match record.status {
             JobStatus::Pending => w.cancel_through((seed % 3) as usize, &job),
             _ => Outcome::Conflict(0),
         };
@@ -659,7 +662,7 @@
             w.run_asking(luck.random_range(100..6000), &all);
             if luck.random_bool(0.2) && !open.is_empty() {
                 let job = open.swap_remove(luck.random_range(0..open.len()));
-                if w.job(&job).is_some_and(|j| j.st == JobStatus::Pending) {
+                if w.job(&job).is_some_and(|j| j.status == JobStatus::Pending) {
                     w.cancel(&job);
                 }
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -28,7 +28,7 @@
     w.until(60_000, "the job is done", |w| w.is_done(&job));
     w.assert_kept();
     assert_eq!(w.starts.len(), 20, "every task started once");
-    assert_eq!(w.job(&job).map(|j| j.d.len()), Some(20));
+    assert_eq!(w.job(&job).map(|j| j.done.len()), Some(20));
     w.run(10_000);
     assert!(
         w.workers.iter().all(|m| m.tasks.is_empty()),
@@ -227,7 +227,7 @@
         w.starts.iter().all(|s| s.0 <= at + 300),
         "nothing starts any more"
     );
-    assert_eq!(w.job(&job).map(|j| j.st), Some(JobStatus::Withdrawn));
+    assert_eq!(w.job(&job).map(|j| j.status), Some(JobStatus::Withdrawn));
     w.assert_kept();
 }
 
@@ -543,7 +543,7 @@
     let recorded: u32 = {
         let blocks = w.state.list("qb/block/").0.into_iter();
         let blocks = blocks.map(|b| b.v.read::<BlockRecord>().expect("a block"));
-        let queued = blocks.flat_map(|b| b.m.into_values().flat_map(|m| m.q));
+        let queued = blocks.flat_map(|b| b.machines.into_values().flat_map(|m| m.queue));
         queued.map(|(_, tasks, _)| tasks.len()).sum()
     };
     assert!(recorded > 0, "no block had to wait for its turn");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -675,7 +675,7 @@
         }
         let named = awaits.iter().map(|a| {
             let shown = core.view.predecessor(a);
-            let archived = || match self.job(a).map(|j| j.st) {
+            let archived = || match self.job(a).map(|j| j.status) {
                 Some(JobStatus::Done) => Predecessor::Done,
                 Some(JobStatus::Withdrawn) => Predecessor::Withdrawn,
                 _ => Predecessor::Unwatched,
@@ -775,7 +775,7 @@
         let known = view.names.jobs.get(name).and_then(|ix| view.status_of(ix));
         let status = match known {
             Some(status) => status,
-            None => self.job(name)?.st,
+            None => self.job(name)?.status,
         };
         if let Some(at) = self
             .orphaned_since(name)
@@ -793,7 +793,8 @@
             self.broken
                 .push(format!("went_back: {name} {before:?}, then {status:?}"));
         }
-        if status == JobStatus::Done && self.done(name) < self.job(name).map_or(0, |j| j.s.legs) {
+        if status == JobStatus::Done && self.done(name) < self.job(name).map_or(0, |j| j.spec.legs)
+        {
             self.broken.push(format!("not_done: {name}"));
         }
         if status != JobStatus::Pending {
@@ -840,11 +841,11 @@
 
     /// Tasks done, as the job's key and all blocks together show them.
     pub fn done(&self, name: &str) -> u32 {
-        let mut done = self.job(name).map(|j| j.d).unwrap_or_default();
+        let mut done = self.job(name).map(|j| j.done).unwrap_or_default();
         for item in self.state.list("qb/block/").0 {
             let block: BlockRecord = item.v.read().expect("a block");
-            for (job, tasks) in &block.d {
-                if block.j[*job] == name {
+            for (job, tasks) in &block.done {
+                if block.jobs[*job] == name {
                     done.union(tasks);
                 }
             }
@@ -856,11 +857,11 @@
     pub fn is_open(&self, name: &str) -> bool {
         let pending = |status| status == JobStatus::Pending;
         self.waiting(name).is_some_and(|w| pending(w.status))
-            || self.job(name).is_some_and(|j| pending(j.st))
+            || self.job(name).is_some_and(|j| pending(j.status))
     }
 
     pub fn is_done(&self, name: &str) -> bool {
-        self.job(name).is_some_and(|j| j.st == JobStatus::Done)
+        self.job(name).is_some_and(|j| j.status == JobStatus::Done)
     }
 
     /// A machine that is off for a moment: its worker starts anew, and everything on it is gone.
@@ -1033,7 +1034,7 @@
                     let record = self.state.value(&past_key(job));
                     let record = record.and_then(|v| serde_json::from_value::<JobRecord>(v).ok());
                     if let Some(record) = record {
-                        core.on_archived(job, record.st);
+                        core.on_archived(job, record.status);
                     }
                 }
             }
@@ -1272,7 +1273,7 @@
                             .push(format!("ran_twice: {leg} on {on} and {rig}"));
                     }
                     let job = job_of(&leg);
-                    if self.job(job).is_some_and(|j| j.st == JobStatus::Done) {
+                    if self.job(job).is_some_and(|j| j.status == JobStatus::Done) {
                         self.broken
                             .push(format!("{leg} starts after its job is done"));
                     }
@@ -1302,7 +1303,7 @@
 
     /// A task of a job has just started on a machine, where its job must permit it.
     fn check_place(&mut self, at: usize, name: &str) {
-        let Some(spec) = self.job(name).map(|j| j.s) else {
+        let Some(spec) = self.job(name).map(|j| j.spec) else {
             return;
         };
         let rig = &self.workers[at].rig;
@@ -1364,7 +1365,7 @@
         for w in &self.workers {
             for t in w.tasks.iter().filter(|t| t.ended.is_none()) {
                 let job = self.job(job_of(&t.leg)).expect("known");
-                *used.entry(job.s.crew.clone()).or_default() += job.s.vcpus;
+                *used.entry(job.spec.crew.clone()).or_default() += job.spec.vcpus;
             }
         }
         for t in &self.settings.platform.settings.teams {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -229,7 +229,7 @@
         }
         let over = [JobStatus::Done, JobStatus::Withdrawn][usize::from(cancelled)];
         w.until(60_000, "over", |w| {
-            w.job(&job).is_some_and(|j| j.st == over)
+            w.job(&job).is_some_and(|j| j.status == over)
         });
         // Blocks list what was done on them until they are written again, at the latest when their
         // idle machines leave.
@@ -344,7 +344,8 @@
             upgrade(&mut w, i, 500);
         }
         lower_limits(&mut w);
-        let ended = |w: &World, j: &String| w.job(j).is_some_and(|r| r.st != JobStatus::Pending);
+        let ended =
+            |w: &World, j: &String| w.job(j).is_some_and(|r| r.status != JobStatus::Pending);
         w.until(300_000, "all are over", |w| {
             jobs.iter().all(|j| ended(w, j))
         });
