--- /dev/null
+++ b/src/core/metrics.rs
@@ -0,0 +1,116 @@
+//! Counters and the status page, for operators.
+
+use super::*;
+
+/// Counters shown to operators.
+#[derive(Debug, Clone, Default, serde::Serialize)]
+pub struct Counters {
+    /// Reports answered with 200.
+    pub reports: u64,
+    /// Reports sent elsewhere.
+    pub redirects: u64,
+    /// Tasks launched.
+    pub launches: u64,
+    /// Tasks recorded done.
+    pub done: u64,
+    /// Tasks that failed.
+    pub failed: u64,
+    /// Tasks put back unbound.
+    pub freed: u64,
+    /// Tasks bound as leader.
+    pub bound: u64,
+    /// Tasks marked as leader to be stopped for more pressing ones.
+    pub evicted: u64,
+    /// Steals sent.
+    pub steals: u64,
+    /// Hops of steals passed on.
+    pub hops: u64,
+    /// Hints sent.
+    pub hints: u64,
+    /// Packs moved.
+    pub packs: u64,
+    /// Tasks moved in packs.
+    pub stolen_tasks: u64,
+    /// Transactions whose conditions failed.
+    pub conflicts: u64,
+    /// Transactions without an answer.
+    pub unanswered: u64,
+    /// Transactions refused for budget or outage.
+    pub refused: u64,
+    /// Machines given up as lost.
+    pub lost_machines: u64,
+}
+
+impl Core {
+    /// Writes the counters to the log.
+    pub(super) fn log_metrics(&self) {
+        let c = &self.counters;
+        info!(
+            machines = self.runtime.len(),
+            reports = c.reports,
+            redirects = c.redirects,
+            launches = c.launches,
+            done = c.done,
+            failed = c.failed,
+            freed = c.freed,
+            bound = c.bound,
+            evicted = c.evicted,
+            steals = c.steals,
+            hops = c.hops,
+            hints = c.hints,
+            packs = c.packs,
+            stolen = c.stolen_tasks,
+            conflicts = c.conflicts,
+            refused = c.refused,
+            unanswered = c.unanswered,
+            lost = c.lost_machines,
+            "counters"
+        );
+    }
+
+    /// A page for operators.
+    pub fn status_page(&self, now: Ms) -> serde_json::Value {
+        let names = &self.view.names;
+        let machines: BTreeMap<&str, serde_json::Value> = self
+            .runtime
+            .iter()
+            .map(|(&m, runtime)| {
+                let queue = self.view.machines.get(&m).map_or(0, |m| m.queue.len());
+                let v = serde_json::json!({
+                    "token": runtime.token, "fenced": runtime.fenced, "lost": runtime.lost, "sick": runtime.sick,
+                    "silentMs": runtime.heard.map(|h| now.since(h)), "tasks": runtime.legs.len(),
+                    "queue": queue, "load": self.queue_load(m, now),
+                });
+                (names.machines.name(m), v)
+            })
+            .collect();
+        serde_json::json!({
+            "host": self.my_name(), "boot": self.boot.0, "ready": self.ready(now),
+            "authority": self.has_authority(now), "leads": self.leads().map(|l| l.stamp),
+            "leader": self.view.lead.map(|l| names.hosts.name(l.host)),
+            "ledger": self.view.ledger, "jobs": self.view.jobs.len(),
+            "machines": machines, "counters": self.counters,
+            "waiting": self.waiting_jobs(), "versions": self.versions(),
+        })
+    }
+
+    /// Each job that waits, with those that it needs and that are not finally done.
+    fn waiting_jobs(&self) -> BTreeMap<&str, Vec<&str>> {
+        let names = &self.view.names.jobs;
+        let waiting = self.view.waiting.jobs.keys();
+        waiting
+            .map(|&job| {
+                let open = self.view.open_predecessors(job);
+                (names.name(job), open.map(|p| names.name(p)).collect())
+            })
+            .collect()
+    }
+
+    /// The format that each controller was last seen to write.
+    fn versions(&self) -> BTreeMap<&str, u32> {
+        let hosts = &self.view.names.hosts;
+        let nodes = self.view.nodes.iter();
+        let shown = nodes.map(|(&host, node)| (hosts.name(host), node.format));
+        shown.chain([(self.my_name(), self.format)]).collect()
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,10 +7,17 @@
 pub(crate) mod endings;
 mod formats;
 mod lease;
+mod metrics;
 pub(crate) mod pacing;
 mod peers;
 mod reports;
+mod runtime;
 mod splitting;
+mod usage;
+
+pub use metrics::Counters;
+use runtime::StrayState;
+pub(crate) use runtime::{Fails, MachineInfo, MachineRuntime, PeerState, TaskRuntime};
 
 use crate::clock::Ms;
 use crate::leader::LeaderState;
@@ -138,160 +145,6 @@
     pub entries: Vec<Entry>,
 }
 
-/// A task as the last report shows it.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct TaskRuntime {
-    pub attempt: u64,
-    pub status: LegStatus,
-    /// When it was first seen running.
-    pub running_since: Option<Ms>,
-}
-
-/// What a holder knows of a machine under one token.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct MachineRuntime {
-    pub token: u64,
-    /// When the grant became known.
-    pub since: Ms,
-    /// Number of the newest report that showed this token.
-    pub newest: (u64, u64),
-    /// Number of the newest one that did not.
-    pub unproven: (u64, u64),
-    /// A report under this token came: no earlier holder is obeyed any more.
-    pub fenced: bool,
-    pub heard: Option<Ms>,
-    pub last_ok: Option<Ms>,
-    pub recall_at: Option<Ms>,
-    pub legs: HashMap<TaskIx, TaskRuntime>,
-    /// Launched in the answer to the newest report.
-    pub launched: HashSet<TaskIx>,
-    /// Jobs that failed here one after the other.
-    pub failed: Vec<JobIx>,
-    pub sick: bool,
-    pub lost: bool,
-    /// Answers in a row that did not reach it, and how many did since.
-    pub unheard: u32,
-    pub heard_again: u32,
-    /// Since when answers do not reach it although its reports come.
-    pub deaf: Option<Ms>,
-    /// The latest report without our token after one that showed it: a late copy, or a worker that
-    /// has begun anew.
-    pub low: Option<(u64, u64, Ms)>,
-    /// The answer to its newest report waits for a task.
-    pub waits: bool,
-    /// Since when ended tasks wait to be cleared.
-    pub clear_since: Option<Ms>,
-    /// Its worker has begun anew: only under a new token do its reports prove anything.
-    pub anew: bool,
-}
-
-impl MachineRuntime {
-    /// Whether the machine executes what its holder tells it. Only such a machine is given tasks:
-    /// one that reports but hears nothing, or of which only old copies of reports come, never
-    /// shows our token, or shows launches that do not appear.
-    pub fn obeys(&self) -> bool {
-        self.fenced && !self.lost && self.deaf.is_none()
-    }
-}
-
-/// What decides whether a machine can be used.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct MachineInfo {
-    /// Milliseconds since its last report to its present holder.
-    pub age_ms: Option<u64>,
-    /// Whether it obeys its holder's token and answers reach it.
-    pub obeys: bool,
-    /// Under notice of the cloud.
-    pub recalled: bool,
-    /// Fails what it starts.
-    pub sick: bool,
-    /// Its worker has begun anew.
-    pub anew: bool,
-}
-
-/// What is known of a peer.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct PeerState {
-    pub heard: Option<Ms>,
-    /// The life it spoke in.
-    pub boot: Option<Boot>,
-    pub state_ok: bool,
-    /// Since when it says that the state service does not answer it, while it answers us.
-    pub refused_since: Option<Ms>,
-    /// When it last said that it had to refuse users for the budget of changes.
-    pub short_at: Option<Ms>,
-    /// Ages of what it heard from others when it spoke last.
-    pub hears: HashMap<HostIx, u64>,
-    /// What it last said of its machines, and when.
-    pub machines: HashMap<MachineIx, MachineNews>,
-    pub machines_at: Option<Ms>,
-    /// Tasks that run on them.
-    pub running: HashMap<JobIx, u32>,
-    /// Tasks that were done on them and that it has not recorded yet.
-    pub done: HashMap<JobIx, RangeSet>,
-    pub strays: Vec<Stray>,
-    pub fails: Vec<(JobIx, u32, Ms)>,
-}
-
-#[derive(Debug, Clone)]
-struct StrayState {
-    first: Ms,
-    last: Ms,
-    /// Number of its newest report: copies of older ones do not count.
-    newest: (u64, u64),
-    /// The grant it came past; under another one the count begins anew.
-    token: u64,
-    frame: String,
-    yard: String,
-    loaners: bool,
-}
-
-/// Failures of a job one after the other, as seen by this holder.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Fails {
-    pub count: u32,
-    pub last: Ms,
-}
-
-/// Counters shown to operators.
-#[derive(Debug, Clone, Default, serde::Serialize)]
-pub struct Counters {
-    /// Reports answered with 200.
-    pub reports: u64,
-    /// Reports sent elsewhere.
-    pub redirects: u64,
-    /// Tasks launched.
-    pub launches: u64,
-    /// Tasks recorded done.
-    pub done: u64,
-    /// Tasks that failed.
-    pub failed: u64,
-    /// Tasks put back unbound.
-    pub freed: u64,
-    /// Tasks bound as leader.
-    pub bound: u64,
-    /// Tasks marked as leader to be stopped for more pressing ones.
-    pub evicted: u64,
-    /// Steals sent.
-    pub steals: u64,
-    /// Hops of steals passed on.
-    pub hops: u64,
-    /// Hints sent.
-    pub hints: u64,
-    /// Packs moved.
-    pub packs: u64,
-    /// Tasks moved in packs.
-    pub stolen_tasks: u64,
-    /// Transactions whose conditions failed.
-    pub conflicts: u64,
-    /// Transactions without an answer.
-    pub unanswered: u64,
-    /// Transactions refused for budget or outage.
-    pub refused: u64,
-    /// Machines given up as lost.
-    pub lost_machines: u64,
-}
-
 /// The state of one controller.
 pub struct Core {
     /// Settings.
@@ -464,32 +317,6 @@
         self.format = format;
     }
 
-    /// Writes the counters to the log.
-    fn log_metrics(&self) {
-        let c = &self.counters;
-        info!(
-            machines = self.runtime.len(),
-            reports = c.reports,
-            redirects = c.redirects,
-            launches = c.launches,
-            done = c.done,
-            failed = c.failed,
-            freed = c.freed,
-            bound = c.bound,
-            evicted = c.evicted,
-            steals = c.steals,
-            hops = c.hops,
-            hints = c.hints,
-            packs = c.packs,
-            stolen = c.stolen_tasks,
-            conflicts = c.conflicts,
-            refused = c.refused,
-            unanswered = c.unanswered,
-            lost = c.lost_machines,
-            "counters"
-        );
-    }
-
     /// This controller's name.
     pub fn my_name(&self) -> &str {
         &self.settings.platform.host_name
@@ -689,114 +516,10 @@
         mine + theirs.sum::<u32>()
     }
 
-    /// Room that a team may still use: its limit without everything bound.
-    pub(crate) fn team_room(&self) -> HashMap<TeamIx, Room> {
-        self.team_room_of(|t| (t.cpus_max, t.gpus_max))
-    }
-
-    /// What is left of so many CPUs and GPUs of each team without everything bound.
-    pub(crate) fn team_room_of(
-        &self,
-        most: impl Fn(&crate::settings::Team) -> (f64, f64),
-    ) -> HashMap<TeamIx, Room> {
-        let mut room: HashMap<TeamIx, Room> = HashMap::new();
-        for t in &self.settings.platform.settings.teams {
-            if let Some(ix) = self.view.names.teams.get(&t.name) {
-                let (cpus, gpus) = most(t);
-                let ram = 0.0;
-                room.insert(ix, Room { cpus, gpus, ram });
-            }
-        }
-        for m in self.view.machines.values() {
-            for e in &m.queue {
-                if let Some(job) = self.view.jobs.get(&e.task.job)
-                    && let Some(r) = room.get_mut(&job.team)
-                {
-                    r.add(&job.room(), -1.0);
-                }
-            }
-        }
-        for (_, e) in self.binding() {
-            if let Some(job) = self.view.jobs.get(&e.task.job)
-                && let Some(r) = room.get_mut(&job.team)
-            {
-                r.add(&job.room(), -1.0);
-            }
-        }
-        room
-    }
-
-    /// Bound tasks by job and zone, those included whose binding is under way.
-    ///
-    /// Guards against a write that has no answer yet: the rest of a job that must stay together
-    /// would be bound in another zone meanwhile.
-    pub(crate) fn zones_of(&self) -> HashMap<JobIx, HashMap<ZoneIx, u32>> {
-        let mut zones: HashMap<JobIx, HashMap<ZoneIx, u32>> = HashMap::new();
-        let listed = self.view.machines.values();
-        let listed = listed.flat_map(|m| m.queue.iter().map(|e| (m.zone, e)));
-        let coming = self.binding().filter_map(|(ix, e)| {
-            let machine = self.view.machines.get(ix)?;
-            Some((machine.zone, e))
-        });
-        for (zone, e) in listed.chain(coming) {
-            let of_job = zones.entry(e.task.job).or_default();
-            *of_job.entry(zone).or_default() += 1;
-        }
-        zones
-    }
-
     /// Whether no task of a job may run any more, as far as this controller knows.
     pub(crate) fn is_over(&self, ix: JobIx, job: &Job) -> bool {
         job.status != JobStatus::Pending || self.told_over.contains(&ix)
     }
-
-    /// A page for operators.
-    pub fn status_page(&self, now: Ms) -> serde_json::Value {
-        let names = &self.view.names;
-        let machines: BTreeMap<&str, serde_json::Value> = self
-            .runtime
-            .iter()
-            .map(|(&m, runtime)| {
-                let queue = self.view.machines.get(&m).map_or(0, |m| m.queue.len());
-                let v = serde_json::json!({
-                    "token": runtime.token, "fenced": runtime.fenced, "lost": runtime.lost, "sick": runtime.sick,
-                    "silentMs": runtime.heard.map(|h| now.since(h)), "tasks": runtime.legs.len(),
-                    "queue": queue, "load": self.queue_load(m, now),
-                });
-                (names.machines.name(m), v)
-            })
-            .collect();
-        serde_json::json!({
-            "host": self.my_name(), "boot": self.boot.0, "ready": self.ready(now),
-            "authority": self.has_authority(now), "leads": self.leads().map(|l| l.stamp),
-            "leader": self.view.lead.map(|l| names.hosts.name(l.host)),
-            "ledger": self.view.ledger, "jobs": self.view.jobs.len(),
-            "machines": machines, "counters": self.counters,
-            "waiting": self.waiting_jobs(), "versions": self.versions(),
-        })
-    }
-}
-
-impl Core {
-    /// Each job that waits, with those that it needs and that are not finally done.
-    fn waiting_jobs(&self) -> BTreeMap<&str, Vec<&str>> {
-        let names = &self.view.names.jobs;
-        let waiting = self.view.waiting.jobs.keys();
-        waiting
-            .map(|&job| {
-                let open = self.view.open_predecessors(job);
-                (names.name(job), open.map(|p| names.name(p)).collect())
-            })
-            .collect()
-    }
-
-    /// The format that each controller was last seen to write.
-    fn versions(&self) -> BTreeMap<&str, u32> {
-        let hosts = &self.view.names.hosts;
-        let nodes = self.view.nodes.iter();
-        let shown = nodes.map(|(&host, node)| (hosts.name(host), node.format));
-        shown.chain([(self.my_name(), self.format)]).collect()
-    }
 }
 
 fn task_runtime(leg: &crate::wire::Leg, running_since: Option<Ms>) -> TaskRuntime {
--- /dev/null
+++ b/src/core/runtime.rs
@@ -0,0 +1,118 @@
+//! What a controller keeps of machines, tasks and peers, and forgets when it ends.
+
+use super::*;
+
+/// A task as the last report shows it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TaskRuntime {
+    pub attempt: u64,
+    pub status: LegStatus,
+    /// When it was first seen running.
+    pub running_since: Option<Ms>,
+}
+
+/// What a holder knows of a machine under one token.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct MachineRuntime {
+    pub token: u64,
+    /// When the grant became known.
+    pub since: Ms,
+    /// Number of the newest report that showed this token.
+    pub newest: (u64, u64),
+    /// Number of the newest one that did not.
+    pub unproven: (u64, u64),
+    /// A report under this token came: no earlier holder is obeyed any more.
+    pub fenced: bool,
+    pub heard: Option<Ms>,
+    pub last_ok: Option<Ms>,
+    pub recall_at: Option<Ms>,
+    pub legs: HashMap<TaskIx, TaskRuntime>,
+    /// Launched in the answer to the newest report.
+    pub launched: HashSet<TaskIx>,
+    /// Jobs that failed here one after the other.
+    pub failed: Vec<JobIx>,
+    pub sick: bool,
+    pub lost: bool,
+    /// Answers in a row that did not reach it, and how many did since.
+    pub unheard: u32,
+    pub heard_again: u32,
+    /// Since when answers do not reach it although its reports come.
+    pub deaf: Option<Ms>,
+    /// The latest report without our token after one that showed it: a late copy, or a worker that
+    /// has begun anew.
+    pub low: Option<(u64, u64, Ms)>,
+    /// The answer to its newest report waits for a task.
+    pub waits: bool,
+    /// Since when ended tasks wait to be cleared.
+    pub clear_since: Option<Ms>,
+    /// Its worker has begun anew: only under a new token do its reports prove anything.
+    pub anew: bool,
+}
+
+impl MachineRuntime {
+    /// Whether the machine executes what its holder tells it. Only such a machine is given tasks:
+    /// one that reports but hears nothing, or of which only old copies of reports come, never
+    /// shows our token, or shows launches that do not appear.
+    pub fn obeys(&self) -> bool {
+        self.fenced && !self.lost && self.deaf.is_none()
+    }
+}
+
+/// What decides whether a machine can be used.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct MachineInfo {
+    /// Milliseconds since its last report to its present holder.
+    pub age_ms: Option<u64>,
+    /// Whether it obeys its holder's token and answers reach it.
+    pub obeys: bool,
+    /// Under notice of the cloud.
+    pub recalled: bool,
+    /// Fails what it starts.
+    pub sick: bool,
+    /// Its worker has begun anew.
+    pub anew: bool,
+}
+
+/// What is known of a peer.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PeerState {
+    pub heard: Option<Ms>,
+    /// The life it spoke in.
+    pub boot: Option<Boot>,
+    pub state_ok: bool,
+    /// Since when it says that the state service does not answer it, while it answers us.
+    pub refused_since: Option<Ms>,
+    /// When it last said that it had to refuse users for the budget of changes.
+    pub short_at: Option<Ms>,
+    /// Ages of what it heard from others when it spoke last.
+    pub hears: HashMap<HostIx, u64>,
+    /// What it last said of its machines, and when.
+    pub machines: HashMap<MachineIx, MachineNews>,
+    pub machines_at: Option<Ms>,
+    /// Tasks that run on them.
+    pub running: HashMap<JobIx, u32>,
+    /// Tasks that were done on them and that it has not recorded yet.
+    pub done: HashMap<JobIx, RangeSet>,
+    pub strays: Vec<Stray>,
+    pub fails: Vec<(JobIx, u32, Ms)>,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct StrayState {
+    pub first: Ms,
+    pub last: Ms,
+    /// Number of its newest report: copies of older ones do not count.
+    pub newest: (u64, u64),
+    /// The grant it came past; under another one the count begins anew.
+    pub token: u64,
+    pub frame: String,
+    pub yard: String,
+    pub loaners: bool,
+}
+
+/// Failures of a job one after the other, as seen by this holder.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Fails {
+    pub count: u32,
+    pub last: Ms,
+}
--- /dev/null
+++ b/src/core/usage.rs
@@ -0,0 +1,61 @@
+//! What bound tasks take: of their teams' limits, and of zones.
+
+use super::*;
+
+impl Core {
+    /// Room that a team may still use: its limit without everything bound.
+    pub(crate) fn team_room(&self) -> HashMap<TeamIx, Room> {
+        self.team_room_of(|t| (t.cpus_max, t.gpus_max))
+    }
+
+    /// What is left of so many CPUs and GPUs of each team without everything bound.
+    pub(crate) fn team_room_of(
+        &self,
+        most: impl Fn(&crate::settings::Team) -> (f64, f64),
+    ) -> HashMap<TeamIx, Room> {
+        let mut room: HashMap<TeamIx, Room> = HashMap::new();
+        for t in &self.settings.platform.settings.teams {
+            if let Some(ix) = self.view.names.teams.get(&t.name) {
+                let (cpus, gpus) = most(t);
+                let ram = 0.0;
+                room.insert(ix, Room { cpus, gpus, ram });
+            }
+        }
+        for m in self.view.machines.values() {
+            for e in &m.queue {
+                if let Some(job) = self.view.jobs.get(&e.task.job)
+                    && let Some(r) = room.get_mut(&job.team)
+                {
+                    r.add(&job.room(), -1.0);
+                }
+            }
+        }
+        for (_, e) in self.binding() {
+            if let Some(job) = self.view.jobs.get(&e.task.job)
+                && let Some(r) = room.get_mut(&job.team)
+            {
+                r.add(&job.room(), -1.0);
+            }
+        }
+        room
+    }
+
+    /// Bound tasks by job and zone, those included whose binding is under way.
+    ///
+    /// Guards against a write that has no answer yet: the rest of a job that must stay together
+    /// would be bound in another zone meanwhile.
+    pub(crate) fn zones_of(&self) -> HashMap<JobIx, HashMap<ZoneIx, u32>> {
+        let mut zones: HashMap<JobIx, HashMap<ZoneIx, u32>> = HashMap::new();
+        let listed = self.view.machines.values();
+        let listed = listed.flat_map(|m| m.queue.iter().map(|e| (m.zone, e)));
+        let coming = self.binding().filter_map(|(ix, e)| {
+            let machine = self.view.machines.get(ix)?;
+            Some((machine.zone, e))
+        });
+        for (zone, e) in listed.chain(coming) {
+            let of_job = zones.entry(e.task.job).or_default();
+            *of_job.entry(zone).or_default() += 1;
+        }
+        zones
+    }
+}
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -4,6 +4,7 @@
 mod binding;
 mod chains;
 mod edits;
+mod finishing;
 mod grants;
 mod machines;
 mod preemption;
--- /dev/null
+++ b/tests/support/worker.rs
@@ -0,0 +1,67 @@
+//! The stand-in of a worker.
+
+use quillbend::wire::{Cause, Leg, LegStatus, ListedRig, Report};
+
+/// A task on a worker.
+pub struct Task {
+    pub leg: String,
+    pub attempt: u64,
+    pub left_ms: u64,
+    pub ended: Option<Cause>,
+}
+
+/// A worker.
+pub struct Worker {
+    pub rig: ListedRig,
+    pub up_at: u64,
+    pub shift: u64,
+    pub tally: u64,
+    pub baton: u64,
+    pub tasks: Vec<Task>,
+    pub at: usize,
+    pub(super) next_report: u64,
+    /// A report is under way until then.
+    pub(super) silent_until: u64,
+    pub(super) answered: u64,
+    /// Its report, sent then, was taken in by a controller, whose answer waits until then.
+    pub(super) held: Option<(u64, u64, usize)>,
+    /// No report leaves it and nothing reaches it.
+    pub cut: bool,
+    /// Its reports arrive, but no answer reaches it.
+    pub deaf: bool,
+    /// It stands still with all that runs on it, and may go on at any time.
+    pub hung: bool,
+    /// It reaches this controller alone.
+    pub only: Option<usize>,
+    /// It fails whatever it starts.
+    pub sick: bool,
+    pub recall_s: Option<f64>,
+}
+
+impl Worker {
+    pub fn report(&self) -> Report {
+        let leg = |t: &Task| Leg {
+            leg: t.leg.clone(),
+            attempt: t.attempt,
+            status: if t.ended.is_some() {
+                LegStatus::Ended
+            } else {
+                LegStatus::Running
+            },
+            cause: t.ended,
+            saved: None,
+        };
+        Report {
+            rig: self.rig.name.clone(),
+            endpoint: String::new(),
+            frame: self.rig.frame.clone(),
+            yard: self.rig.yard.clone(),
+            loaners: self.rig.loaners,
+            shift: self.shift,
+            tally: self.tally,
+            baton: self.baton,
+            recall_s: self.recall_s,
+            legs: self.tasks.iter().map(leg).collect(),
+        }
+    }
+}
