--- a/src/core/pacing.rs
+++ b/src/core/pacing.rs
@@ -12,7 +12,7 @@
 /// For so long gathered writes go slowly after a user had to be refused, ms.
 const SHORT_MS: u64 = 1500;
 /// How much slower they go then.
-const SHORT_FACTOR: f64 = 0.4;
+const SHORT_FACTOR: f64 = 0.7;
 
 /// Gathered writes give way to grants while so many blocks have no valid one.
 const UNHELD_BLOCKS: usize = 4;
