--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -120,6 +120,11 @@
     Some((status, answer.json().await.unwrap_or(Value::Null)))
 }
 
+/// The same, with an address of its own.
+async fn call_owned(method: &str, url: String, body: Option<Value>) -> Option<(u16, Value)> {
+    call(method, &url, body).await
+}
+
 /// One report of a worker that finishes whatever it is told to start.
 async fn report(base: &str, tally: u64, baton: &mut u64, legs: &mut Vec<Leg>) {
     let report = Report {
@@ -241,6 +246,86 @@
     assert_eq!(answer.map(|a| a.0), Some(201));
 }
 
+/// What users are told of submissions that name other jobs: `known` is done, and wk-000101 is open,
+/// for the only worker reports no more.
+async fn chained_requests(base: &str, known: &Value) {
+    let jobs = format!("{base}/api/jobs");
+    let submit = |name: &str, awaits: Value| {
+        let mut spec = known.clone();
+        spec["ref"] = json!(name);
+        spec["awaits"] = awaits;
+        call_owned("POST", jobs.clone(), Some(spec))
+    };
+    let done = known["ref"].clone();
+    for (name, awaits, expected) in [
+        ("wk-000200", json!("wk-000101"), (400, Value::Null)),
+        ("wk-000200", json!([7]), (400, Value::Null)),
+        ("wk-000200", json!(["job-1"]), (400, Value::Null)),
+        ("wk-000200", json!(["wk-000999"]), (422, Value::Null)),
+        (
+            "wk-000200",
+            json!(["wk-000101", "wk-000200"]),
+            (422, Value::Null),
+        ),
+        ("wk-000201", json!(null), (201, json!("pending"))),
+        ("wk-000202", json!([]), (201, json!("pending"))),
+        ("wk-000203", json!([done, done]), (201, json!("pending"))),
+        (
+            "wk-000204",
+            json!(["wk-000101", done]),
+            (201, json!("pending")),
+        ),
+        ("wk-000205", json!(["wk-000204"]), (201, json!("pending"))),
+        // A repeat is answered with the job's state, whatever else it holds.
+        ("wk-000204", json!(["wk-000999"]), (200, json!("pending"))),
+        ("wk-000204", json!("nothing"), (200, json!("pending"))),
+        ("wk-000204", json!(["wk-000101"]), (200, json!("pending"))),
+    ] {
+        let answer = submit(name, awaits.clone()).await.expect("answered");
+        let status = answer.1["status"].clone();
+        assert_eq!((answer.0, status), expected, "{name} {awaits}");
+    }
+    let state = |name: &str| call_owned("GET", format!("{jobs}/{name}"), None);
+    let cancel = |name: &str| call_owned("POST", format!("{jobs}/{name}/cancel"), None);
+    for name in ["wk-000203", "wk-000204", "wk-000205"] {
+        let answer = state(name).await.expect("answered");
+        assert_eq!(
+            (answer.0, &answer.1["status"]),
+            (200, &json!("pending")),
+            "{name}"
+        );
+    }
+    let answer = cancel("wk-000101").await.expect("answered");
+    assert_eq!((answer.0, &answer.1["status"]), (200, &json!("withdrawn")));
+    for name in ["wk-000204", "wk-000205"] {
+        let answer = state(name).await.expect("answered");
+        assert_eq!(
+            (answer.0, &answer.1["status"]),
+            (200, &json!("withdrawn")),
+            "{name}"
+        );
+        let answer = cancel(name).await.expect("answered");
+        assert_eq!(
+            (answer.0, &answer.1["status"]),
+            (200, &json!("withdrawn")),
+            "{name}"
+        );
+    }
+    let late = submit("wk-000206", json!(["wk-000205"]))
+        .await
+        .expect("answered");
+    assert_eq!((late.0, &late.1["status"]), (201, &json!("withdrawn")));
+    let answer = state("wk-000206").await.expect("answered");
+    assert_eq!((answer.0, &answer.1["status"]), (200, &json!("withdrawn")));
+    // One that waits can be cancelled by itself.
+    assert_eq!(
+        submit("wk-000207", json!(["wk-000201"])).await.map(|a| a.0),
+        Some(201)
+    );
+    let answer = cancel("wk-000207").await.expect("answered");
+    assert_eq!((answer.0, &answer.1["status"]), (200, &json!("withdrawn")));
+}
+
 #[test]
 fn the_program_starts_and_does_a_job() {
     let store = Arc::new(Mutex::new(support::State::default()));
@@ -319,6 +404,7 @@
         }
         if done {
             odd_requests(&base, &spec).await;
+            chained_requests(&base, &spec).await;
         }
         let status = call("GET", &format!("http://127.0.0.1:{back}/status"), None).await;
         let _ = std::fs::remove_file(&file);
