--- a/src/core/splitting.rs
+++ b/src/core/splitting.rs
@@ -55,8 +55,7 @@
     /// Whether a block is to be divided.
     ///
     /// Guards against machines that stand idle because the value which lists their tasks is full:
-    /// half of Regina's fleet did after its values had to fit into a sixteenth (figures from
-    /// simulated machines).
+    /// half of a fleet did when values had to become much smaller.
     pub(crate) fn is_oversized(&self, block: &Block) -> bool {
         let most = self.settings.value_bytes();
         let machines = block.machines.iter();
