--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -680,41 +680,39 @@
 #[test]
 fn after_an_end_of_all_the_grants_come_before_what_was_gathered() {
     // Many blocks and few changes a second: what ends and waits to be bound would use them up.
-    for seed in [71] {
-        let mut w = World::sized(seed, 3, 30);
-        w.settings.options.block_machines = 1.0;
-        let state = &mut w.settings.platform.settings.state;
-        (state.write_rps, state.txn_ops) = (60.0, 4);
-        (0..3).for_each(|i| w.start(i));
-        w.run(12_000);
-        w.cloud_up = false;
-        assert!(w.state.list("qb/block/").0.len() >= 25, "many blocks");
-        w.run_ms = 90_000;
-        let mut long = w.spec(16);
-        long.crew = "red".into();
-        let long = w.submit(1, long);
-        w.until(20_000, "all run", |w| w.running_of(&long) == 16);
-        w.run_ms = 1500;
-        let mut short = w.spec(4000);
-        (short.crew, short.vcpus, short.ram_gb) = ("guest".into(), 0.25, 0.1);
-        let short = w.submit(2, short);
-        w.run(10_000);
-        assert!(w.running_of(&short) > 20, "nothing competes for the budget");
-        w.state.budget = Some((4.0, 4.0));
-        (0..3).for_each(|i| w.crash(i));
-        w.run(4500);
-        (0..3).for_each(|i| w.start(i));
-        let grants = w.state.writes_to("qb/grant/");
-        w.until(10_000, "the first grants", |w| {
-            w.state.writes_to("qb/grant/") > grants
-        });
-        let blocks = w.state.writes_to("qb/block/");
-        w.run(3000);
-        let gathered = w.state.writes_to("qb/block/") - blocks;
-        assert_eq!(gathered, 0, "gathered writes took changes from the grants");
-        w.run(20_000);
-        w.state.budget = None;
-        w.until(200_000, "done", |w| w.is_done(&long));
-        w.assert_kept();
-    }
+    let mut w = World::sized(71, 3, 30);
+    w.settings.options.block_machines = 1.0;
+    let state = &mut w.settings.platform.settings.state;
+    (state.write_rps, state.txn_ops) = (60.0, 4);
+    (0..3).for_each(|i| w.start(i));
+    w.run(12_000);
+    w.cloud_up = false;
+    assert!(w.state.list("qb/block/").0.len() >= 25, "many blocks");
+    w.run_ms = 90_000;
+    let mut long = w.spec(16);
+    long.crew = "red".into();
+    let long = w.submit(1, long);
+    w.until(20_000, "all run", |w| w.running_of(&long) == 16);
+    w.run_ms = 1500;
+    let mut short = w.spec(4000);
+    (short.crew, short.vcpus, short.ram_gb) = ("guest".into(), 0.25, 0.1);
+    let short = w.submit(2, short);
+    w.run(10_000);
+    assert!(w.running_of(&short) > 20, "nothing competes for the budget");
+    w.state.budget = Some((4.0, 4.0));
+    (0..3).for_each(|i| w.crash(i));
+    w.run(4500);
+    (0..3).for_each(|i| w.start(i));
+    let grants = w.state.writes_to("qb/grant/");
+    w.until(10_000, "the first grants", |w| {
+        w.state.writes_to("qb/grant/") > grants
+    });
+    let blocks = w.state.writes_to("qb/block/");
+    w.run(3000);
+    let gathered = w.state.writes_to("qb/block/") - blocks;
+    assert_eq!(gathered, 0, "gathered writes took changes from the grants");
+    w.run(20_000);
+    w.state.budget = None;
+    w.until(200_000, "done", |w| w.is_done(&long));
+    w.assert_kept();
 }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -149,57 +149,55 @@
 
 #[test]
 fn blocks_that_an_old_version_wrote_larger_are_divided_and_their_tasks_run_on() {
-    for seed in [8] {
-        // Many small tasks of as many jobs make large values.
-        let mut w = in_production(seed, 3, 30);
-        w.cloud_up = false;
-        w.run_ms = 120_000;
-        let mut jobs = Vec::new();
-        for n in 1..=460 {
-            let mut spec = w.spec(1);
-            (spec.crew, spec.vcpus, spec.ram_gb, spec.ride_s) = ("guest".into(), 0.25, 0.1, 120.0);
-            jobs.push(w.submit(n, spec));
-        }
-        w.until(60_000, "all run", |w| w.running() == 460);
-        let most = w.settings.value_bytes();
-        let largest = |w: &World| {
-            let blocks = w.state.list("qb/block/").0;
-            blocks.iter().map(|b| b.v.size()).max().unwrap_or(0)
-        };
-        assert!(
-            largest(&w) > most,
-            "{} bytes: nothing to divide",
-            largest(&w)
-        );
-        let running = w.running();
-        // Only the holders are new at first: an old leader grants what they divided.
-        let leader = w.leader().expect("leads");
-        for i in (0..3).filter(|i| *i != leader) {
-            upgrade(&mut w, i, 800);
-        }
-        w.run(4000);
-        upgrade(&mut w, leader, 800);
-        w.until(15_000, "all fit", |w| largest(w) <= most);
-        lower_limits(&mut w);
-        assert!(
-            w.running() + 60 > running,
-            "{} of {running} run on",
-            w.running()
-        );
-        let starts = w.starts.len();
-        let called_off = jobs.remove(0);
-        if w.is_open(&called_off) {
-            w.cancel(&called_off);
-        }
-        w.until(300_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
-        assert!(
-            w.starts.len() <= 60 * 9,
-            "{starts}, {}: begun twice",
-            w.starts.len()
-        );
-        assert_eq!(w.state.too_large, 0);
-        w.assert_kept();
+    // Many small tasks of as many jobs make large values.
+    let mut w = in_production(8, 3, 30);
+    w.cloud_up = false;
+    w.run_ms = 120_000;
+    let mut jobs = Vec::new();
+    for n in 1..=460 {
+        let mut spec = w.spec(1);
+        (spec.crew, spec.vcpus, spec.ram_gb, spec.ride_s) = ("guest".into(), 0.25, 0.1, 120.0);
+        jobs.push(w.submit(n, spec));
+    }
+    w.until(60_000, "all run", |w| w.running() == 460);
+    let most = w.settings.value_bytes();
+    let largest = |w: &World| {
+        let blocks = w.state.list("qb/block/").0;
+        blocks.iter().map(|b| b.v.size()).max().unwrap_or(0)
+    };
+    assert!(
+        largest(&w) > most,
+        "{} bytes: nothing to divide",
+        largest(&w)
+    );
+    let running = w.running();
+    // Only the holders are new at first: an old leader grants what they divided.
+    let leader = w.leader().expect("leads");
+    for i in (0..3).filter(|i| *i != leader) {
+        upgrade(&mut w, i, 800);
     }
+    w.run(4000);
+    upgrade(&mut w, leader, 800);
+    w.until(15_000, "all fit", |w| largest(w) <= most);
+    lower_limits(&mut w);
+    assert!(
+        w.running() + 60 > running,
+        "{} of {running} run on",
+        w.running()
+    );
+    let starts = w.starts.len();
+    let called_off = jobs.remove(0);
+    if w.is_open(&called_off) {
+        w.cancel(&called_off);
+    }
+    w.until(300_000, "done", |w| jobs.iter().all(|j| w.is_done(j)));
+    assert!(
+        w.starts.len() <= 60 * 9,
+        "{starts}, {}: begun twice",
+        w.starts.len()
+    );
+    assert_eq!(w.state.too_large, 0);
+    w.assert_kept();
 }
 
 #[test]
