--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -132,33 +132,46 @@
     w.assert_kept();
 }
 
-#[test]
-fn the_priority_and_the_deadline_of_the_last_job_count_for_those_before_it() {
+/// Whether the first job of a chain whose last one has this priority and deadline is done before one
+/// like it that nobody needs, on a fleet that is full of ordinary work.
+fn first_is_served_early(urgency: Urgency, due_s: Option<f64>) -> bool {
     let mut w = World::settled(5, 3, 3);
     w.cloud_up = false;
     w.run_ms = 6000;
-    let best_effort = |w: &World, legs: u32| JobSpec {
-        urgency: Urgency::BestEffort,
-        ..w.spec(legs)
+    let spec = |w: &World, urgency: Urgency| JobSpec {
+        urgency,
+        crew: "red".into(),
+        ..w.spec(2)
     };
-    // The fleet is full of ordinary work; the chain's first job alone would come last.
-    for n in 1..=6 {
-        let mut spec = w.spec(8);
-        spec.crew = "red".into();
-        w.submit(n, spec);
+    for n in 1..=24 {
+        w.submit(n, spec(&w, Urgency::Normal));
     }
     w.run(3000);
-    let mut first = best_effort(&w, 2);
-    first.crew = "red".into();
-    let alone = w.submit(40, first.clone());
-    let first = w.submit(41, first);
-    let second = w.chain(42, best_effort(&w, 2), &[&first]);
-    let mut urgent = w.spec(1);
-    (urgent.urgency, urgent.due_s) = (Urgency::Urgent, Some(60.0));
-    w.chain(43, urgent, &[&second]);
-    w.until(60_000, "the chain gets on", |w| w.is_done(&first));
-    assert!(!w.is_done(&alone), "it was not its turn");
+    let alone = w.submit(40, spec(&w, Urgency::BestEffort));
+    let first = w.submit(41, spec(&w, Urgency::BestEffort));
+    let second = w.chain(42, spec(&w, Urgency::BestEffort), &[&first]);
+    let mut last = spec(&w, urgency);
+    last.due_s = due_s;
+    w.chain(43, last, &[&second]);
+    w.until(120_000, "one is done", |w| {
+        w.is_done(&first) || w.is_done(&alone)
+    });
     w.assert_kept();
+    w.is_done(&first) && !w.is_done(&alone)
+}
+
+#[test]
+fn the_priority_of_the_last_job_counts_for_those_before_it() {
+    assert!(first_is_served_early(Urgency::Urgent, None));
+    assert!(
+        !first_is_served_early(Urgency::BestEffort, None),
+        "nothing presses"
+    );
+}
+
+#[test]
+fn the_deadline_of_the_last_job_counts_for_those_before_it() {
+    assert!(first_is_served_early(Urgency::BestEffort, Some(90.0)));
 }
 
 #[test]
