A task ran twice, found: a leader acts on its own grant before its watch shows the steals

The fakes now do what PROTOCOL lets machines do (images are fetched, tasks save, full and in_use are refused, lists are late, copies are kept for the next leader), and a checker of its own compares all machines at every step.

--- /dev/null
+++ b/tests/support/days.rs
@@ -0,0 +1,339 @@
+//! Days of several controllers and many machines on which troubles come by chance and overlap.
+
+use super::*;
+
+/// Limits of a deployment.
+struct Limits {
+    controllers: usize,
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+/// Deployments of several sizes and speeds.
+const LIMITS: [Limits; 4] = [
+    Limits {
+        controllers: 3,
+        report_s: 2.0,
+        lease_s: 12.0,
+        cancel_s: 37.0,
+        value_kb: 4.0,
+        txn_ops: 12,
+    },
+    Limits {
+        controllers: 3,
+        report_s: 3.0,
+        lease_s: 19.0,
+        cancel_s: 49.0,
+        value_kb: 32.0,
+        txn_ops: 24,
+    },
+    Limits {
+        controllers: 5,
+        report_s: 5.0,
+        lease_s: 26.5,
+        cancel_s: 51.5,
+        value_kb: 4.0,
+        txn_ops: 12,
+    },
+    Limits {
+        controllers: 3,
+        report_s: 5.0,
+        lease_s: 26.5,
+        cancel_s: 56.5,
+        value_kb: 32.0,
+        txn_ops: 24,
+    },
+];
+
+/// What can go wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Trouble {
+    Crash,
+    CrashAll,
+    RestartAtOnce,
+    StateRefuses,
+    StateLate,
+    StateMoody,
+    StateSlow,
+    WatchHangs,
+    Outage,
+    PeersCut,
+    WorkersCut,
+    Stranded,
+    Frozen,
+    MachinesCut,
+    MachinesDeaf,
+    MachinesHang,
+    MachinesRestart,
+    MachinesSick,
+    MachinesDie,
+    SpotNotice,
+    ZoneCut,
+    CloudDown,
+    Recovery,
+}
+
+const TROUBLES: [Trouble; 23] = [
+    Trouble::Crash,
+    Trouble::CrashAll,
+    Trouble::RestartAtOnce,
+    Trouble::StateRefuses,
+    Trouble::StateLate,
+    Trouble::StateMoody,
+    Trouble::StateSlow,
+    Trouble::WatchHangs,
+    Trouble::Outage,
+    Trouble::PeersCut,
+    Trouble::WorkersCut,
+    Trouble::Stranded,
+    Trouble::Frozen,
+    Trouble::MachinesCut,
+    Trouble::MachinesDeaf,
+    Trouble::MachinesHang,
+    Trouble::MachinesRestart,
+    Trouble::MachinesSick,
+    Trouble::MachinesDie,
+    Trouble::SpotNotice,
+    Trouble::ZoneCut,
+    Trouble::CloudDown,
+    Trouble::Recovery,
+];
+
+/// How a day is played.
+#[derive(Debug, Clone, Copy)]
+pub struct DayPlan {
+    pub seed: u64,
+    pub machines: usize,
+    /// Number of troubles.
+    pub troubles: usize,
+    /// Whether the machines may begin anew under the same name.
+    pub restarts: bool,
+}
+
+/// A day under way.
+struct Day {
+    world: World,
+    luck: SmallRng,
+    plan: DayPlan,
+    open: Vec<String>,
+    submitted: u32,
+    /// What happened, for the story that a failing day is shortened to.
+    log: Vec<(u64, String)>,
+}
+
+/// Plays a day; the rules that were broken, with what had happened before.
+pub fn play(plan: DayPlan) -> Result<(), Vec<String>> {
+    let mut day = Day::new(plan);
+    for _ in 0..plan.troubles {
+        day.submit_some();
+        day.cancel_some();
+        day.trouble();
+        let pause = day.luck.random_range(100..6000);
+        day.world.run(pause);
+        if day.luck.random_bool(0.3) {
+            day.note("heal".into());
+            day.world.heal();
+            day.world.cloud_up = true;
+        }
+        if !day.world.broken.is_empty() {
+            return Err(day.report());
+        }
+    }
+    day.world.heal();
+    day.world.cloud_up = true;
+    day.world.run(30_000);
+    match day.world.broken.is_empty() {
+        true => Ok(()),
+        false => Err(day.report()),
+    }
+}
+
+impl Day {
+    fn new(plan: DayPlan) -> Day {
+        let limits = &LIMITS[plan.seed as usize % LIMITS.len()];
+        let mut luck = SmallRng::seed_from_u64(plan.seed);
+        let platform = PLATFORM
+            .replace(
+                "report_s = 2.0",
+                &format!("report_s = {:?}", limits.report_s),
+            )
+            .replace("lease_s = 12.0", &format!("lease_s = {:?}", limits.lease_s))
+            .replace(
+                "cancel_s = 37.0",
+                &format!("cancel_s = {:?}", limits.cancel_s),
+            )
+            .replace(
+                "value_kb = 4.0",
+                &format!("value_kb = {:?}", limits.value_kb),
+            )
+            .replace("txn_ops = 12", &format!("txn_ops = {}", limits.txn_ops))
+            .replace(
+                "cpus_max = 16.0",
+                &format!("cpus_max = {}.0", plan.machines * 3),
+            );
+        let mut world =
+            World::with_platform(plan.seed, limits.controllers, plan.machines, &platform);
+        world.run_ms = 12_000;
+        world.fetch_ms = [0, 1500, 4000][luck.random_range(0..3)];
+        world.save_ms = [0, 3000][luck.random_range(0..2)];
+        world.list_lag_ms = [0, 3000, 6000][luck.random_range(0..3)];
+        if luck.random_bool(0.6) {
+            world.copies = vec![
+                luck.random_range(300..8000),
+                luck.random_range(8000..40_000),
+            ];
+        }
+        world.copies_for_next = luck.random_bool(0.5);
+        world.drift[0] = -0.0005;
+        world.drift[1] = 0.0005;
+        world.run(12_000);
+        Day {
+            world,
+            luck,
+            plan,
+            open: Vec::new(),
+            submitted: 0,
+            log: Vec::new(),
+        }
+    }
+
+    fn note(&mut self, what: String) {
+        self.log.push((self.world.now, what));
+    }
+
+    fn report(&self) -> Vec<String> {
+        let mut lines = vec![format!("{:?}", self.plan)];
+        lines.extend(self.world.broken.iter().take(3).cloned());
+        let log = self.log.iter().map(|(at, what)| format!("{at} {what}"));
+        lines.extend(log);
+        lines
+    }
+
+    fn submit_some(&mut self) {
+        for _ in 0..self.luck.random_range(0..4) {
+            self.submitted += 1;
+            let mut spec = self.world.spec(self.luck.random_range(1..24));
+            spec.vcpus = [1.0, 1.0, 2.0][self.luck.random_range(0..3)];
+            spec.crew = ["blue", "red", "guest"][self.luck.random_range(0..3)].into();
+            spec.urgency = match self.luck.random_range(0..4) {
+                0 => Urgency::Urgent,
+                1 => Urgency::BestEffort,
+                _ => Urgency::Normal,
+            };
+            spec.same_place = self.luck.random_bool(0.1);
+            if self.world.save_ms > 0 {
+                spec.waypoint_s = 5.0;
+                spec.stow_s = self.world.save_ms as f64 / 1000.0;
+            }
+            self.world.run_ms = self.luck.random_range(2000..30_000);
+            let job = self.world.submit(self.submitted, spec);
+            if self.luck.random_bool(0.05) {
+                self.world.faulty.insert(job.clone());
+            }
+            self.open.push(job);
+        }
+    }
+
+    fn cancel_some(&mut self) {
+        if self.open.is_empty() || !self.luck.random_bool(0.25) {
+            return;
+        }
+        let job = self
+            .open
+            .swap_remove(self.luck.random_range(0..self.open.len()));
+        if self.world.is_open(&job) && !self.world.state.out {
+            self.note(format!("cancel {job}"));
+            self.world.cancel(&job);
+        }
+    }
+
+    /// Positions of some machines.
+    fn some_machines(&mut self) -> Vec<usize> {
+        let all = self.world.workers.len();
+        let share = [0.05, 0.2, 0.5][self.luck.random_range(0..3)];
+        (0..all).filter(|_| self.luck.random_bool(share)).collect()
+    }
+
+    fn trouble(&mut self) {
+        let kind = TROUBLES[self.luck.random_range(0..TROUBLES.len())];
+        if kind == Trouble::MachinesRestart && !self.plan.restarts {
+            return;
+        }
+        let nodes = self.world.nodes.len();
+        let i = match (self.world.leader(), self.luck.random_bool(0.3)) {
+            (Some(leader), true) => leader,
+            _ => self.luck.random_range(0..nodes),
+        };
+        let ms = self.luck.random_range(500..30_000);
+        let machines = self.some_machines();
+        self.note(format!(
+            "{kind:?} controller {i} {ms} ms machines {machines:?}"
+        ));
+        match kind {
+            Trouble::MachinesCut
+            | Trouble::MachinesDeaf
+            | Trouble::MachinesHang
+            | Trouble::MachinesRestart
+            | Trouble::MachinesSick
+            | Trouble::SpotNotice
+            | Trouble::MachinesDie => self.trouble_machines(kind, &machines),
+            _ => self.trouble_controller(kind, i, ms),
+        }
+    }
+
+    fn trouble_machines(&mut self, kind: Trouble, machines: &[usize]) {
+        let world = &mut self.world;
+        for &at in machines.iter().rev() {
+            let worker = &mut world.workers[at];
+            match kind {
+                Trouble::MachinesCut => worker.cut = true,
+                Trouble::MachinesDeaf => worker.deaf = true,
+                Trouble::MachinesHang => worker.hung = true,
+                Trouble::MachinesSick => worker.sick = true,
+                Trouble::SpotNotice => worker.recall_s = Some(20.0),
+                Trouble::MachinesRestart => world.restart_machine(at),
+                _ => {
+                    world.workers.remove(at);
+                }
+            }
+        }
+    }
+
+    fn trouble_controller(&mut self, kind: Trouble, i: usize, ms: u64) {
+        let world = &mut self.world;
+        match kind {
+            Trouble::Crash => world.crash(i),
+            Trouble::CrashAll => (0..world.nodes.len()).for_each(|n| world.crash(n)),
+            Trouble::RestartAtOnce => {
+                world.crash(i);
+                world.run(300);
+                world.start(i);
+            }
+            Trouble::StateRefuses => world.links[i].state = Mood::Refuses,
+            Trouble::StateLate => world.links[i].state = Mood::Late(ms.min(12_000)),
+            Trouble::StateMoody => world.links[i].state = Mood::Moody,
+            Trouble::StateSlow => world.links[i].state = Mood::Slow(ms.min(3000)),
+            Trouble::WatchHangs => world.links[i].watch_hangs = true,
+            Trouble::Outage => world.outage(true),
+            Trouble::PeersCut => world.links[i].peers = false,
+            Trouble::WorkersCut => world.links[i].workers = false,
+            Trouble::Stranded => world.strand(i),
+            Trouble::Frozen => world.freeze(i, ms),
+            Trouble::ZoneCut => {
+                let zone = ["north", "south"][i % 2];
+                let of_zone = world.workers.iter_mut().filter(|w| w.rig.yard == zone);
+                of_zone.for_each(|w| w.only = Some(i));
+                world.links[i].peers = false;
+                world.links[i].state = Mood::Refuses;
+                world.links[i].watch_hangs = true;
+            }
+            Trouble::CloudDown => world.cloud_up = false,
+            _ => world.workers.iter_mut().for_each(|w| {
+                (w.only, w.sick, w.recall_s) = (None, false, None);
+            }),
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,8 +12,10 @@
 use quillbend::wire::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
+pub mod days;
+pub mod occupancy;
 mod state;
 mod worker;
 
@@ -70,6 +72,22 @@
     pub workers: Vec<Worker>,
     pub cloud_up: bool,
     pub run_ms: u64,
+    /// How long an image takes to fetch.
+    pub fetch_ms: u64,
+    /// How long a task takes to save when it is stopped; 0 if it does not.
+    pub save_ms: u64,
+    /// The cloud's lists are as old as this, or up to twice as old.
+    pub list_lag_ms: u64,
+    /// Lists as they were, with the time of each.
+    lists: VecDeque<(u64, Vec<ListedRig>)>,
+    /// Specifications of all jobs.
+    specs: HashMap<String, JobSpec>,
+    /// Tasks whose result is kept: started again they end as soon as they have their image.
+    completed: BTreeSet<String>,
+    /// Copies of reports that are kept until another controller leads.
+    pub copies_for_next: bool,
+    kept_copies: Vec<Report>,
+    last_leader: Option<usize>,
     pub starts: Vec<(u64, String, String)>,
     pub broken: Vec<String>,
     pub returned: BTreeSet<String>,
@@ -133,6 +151,11 @@
         World::of_platform(seed, nodes, machines, &platform, true)
     }
 
+    /// A world with other limits than the usual ones.
+    pub fn with_platform(seed: u64, nodes: usize, machines: usize, platform: &str) -> World {
+        World::of_platform(seed, nodes, machines, platform, false)
+    }
+
     fn of_platform(seed: u64, nodes: usize, machines: usize, platform: &str, old: bool) -> World {
         let count = format!("count = {nodes}");
         let parse = |text: &str| {
@@ -148,6 +171,15 @@
             workers: Vec::new(),
             cloud_up: true,
             run_ms: 8000,
+            fetch_ms: 0,
+            save_ms: 0,
+            list_lag_ms: 0,
+            lists: VecDeque::new(),
+            specs: HashMap::new(),
+            completed: BTreeSet::new(),
+            copies_for_next: false,
+            kept_copies: Vec::new(),
+            last_leader: None,
             starts: Vec::new(),
             broken: Vec::new(),
             returned: BTreeSet::new(),
@@ -406,6 +438,7 @@
 
     pub fn submit(&mut self, n: u32, spec: JobSpec) -> String {
         let name = format!("wk-{n:06}");
+        self.specs.insert(name.clone(), spec.clone());
         let txn = jobs::accept(&name, &jobs::new_record(spec, self.now));
         assert!(
             matches!(self.state.commit(&txn), Outcome::Done(_)),
@@ -442,6 +475,7 @@
             };
             (a.clone(), known)
         });
+        let kept = spec.clone();
         let record = jobs::new_record(spec, self.now);
         let accepted = plan_acceptance(&name, record, named.collect(), &core.settings).ok()?;
         if matches!(accepted, Acceptance::Waiting(_)) && !core.accepts_waiting(clock) {
@@ -454,6 +488,7 @@
         if let Some(node) = &mut self.nodes[i] {
             node.core.view.apply_own(&txn, ledger);
         }
+        self.specs.insert(name.clone(), kept);
         self.awaits.insert(name.clone(), awaits.to_vec());
         Some(name)
     }
@@ -623,6 +658,7 @@
     /// A machine that is off for a moment: its worker starts anew, and everything on it is gone.
     pub fn restart_machine(&mut self, at: usize) {
         let w = &mut self.workers[at];
+        tracing::debug!(now = self.now, rig = w.rig.name, "begins anew");
         (w.shift, w.tally, w.baton) = (1, 0, 0);
         w.tasks.clear();
         w.held = None;
@@ -678,6 +714,8 @@
     pub fn step(&mut self) {
         self.now += 100;
         self.state.pass(self.now);
+        self.note_list();
+        self.release_kept_copies();
         for i in 0..self.nodes.len() {
             if !self.frozen(i) {
                 self.play_node(i);
@@ -691,8 +729,16 @@
         let due_news: Vec<_> = self.late_news.extract_if(.., |n| due(n.0, n.1)).collect();
         let due = self.late_reports.extract_if(.., |r| due(r.0, r.1));
         for (_, node, report) in due.collect::<Vec<_>>() {
+            let _span = self.span(node).entered();
             let clock = self.clock(node);
             if let Some(n) = self.nodes[node].as_mut() {
+                tracing::debug!(
+                    rig = report.rig,
+                    baton = report.baton,
+                    shift = report.shift,
+                    tally = report.tally,
+                    "a copy arrives"
+                );
                 // Whatever is answered to a copy, nobody waits for it.
                 n.core.on_report(report, clock);
             }
@@ -706,10 +752,32 @@
         self.check();
     }
 
+    /// Copies of reports that were kept for the next leader arrive there and at all others.
+    fn release_kept_copies(&mut self) {
+        let leader = self.leader();
+        if !self.copies_for_next || leader.is_none() || leader == self.last_leader {
+            return;
+        }
+        self.last_leader = leader;
+        for report in std::mem::take(&mut self.kept_copies) {
+            let after = self.rng.random_range(100..6000);
+            for node in 0..self.nodes.len() {
+                self.late_reports
+                    .push((self.now + after, node, report.clone()));
+            }
+        }
+    }
+
+    /// Names the controller and the time in what a traced story logs.
+    fn span(&self, i: usize) -> tracing::Span {
+        tracing::debug_span!("controller", i, now = self.now)
+    }
+
     fn play_node(&mut self, i: usize) {
         let Some(mut node) = self.nodes[i].take() else {
             return;
         };
+        let _span = self.span(i).entered();
         let now = self.clock(i);
         let link = self.link(i);
         let late = match link.state {
@@ -727,7 +795,9 @@
                     0 => self.state.news("qb/", after),
                     late => self.state.news_by("qb/", after, self.now - late),
                 };
-                node.core.on_news(list, now, now);
+                // What a late answer shows was current when the watch was opened.
+                let sent = Ms(now.0.saturating_sub(late));
+                node.core.on_news(list, sent, now);
             } else {
                 let (items, ledger) = self.state.list("qb/");
                 node.core.on_load(items, ledger, ledger, now, now);
@@ -782,7 +852,7 @@
             Action::Catalog if self.cloud_up => core.on_catalog(catalog()),
             Action::Catalog => {}
             Action::List => {
-                let list = self.workers.iter().map(|w| w.rig.clone()).collect();
+                let list = self.cloud_list();
                 core.on_list(self.cloud_up.then_some(list), now);
             }
             Action::Archived(jobs) => {
@@ -822,6 +892,33 @@
         false
     }
 
+    /// The cloud's list, which lags, and may be older than the one before it.
+    fn cloud_list(&mut self) -> Vec<ListedRig> {
+        let current = self.workers.iter().map(|w| w.rig.clone()).collect();
+        if self.list_lag_ms == 0 {
+            return current;
+        }
+        let lag = self
+            .rng
+            .random_range(self.list_lag_ms / 2..=self.list_lag_ms * 2);
+        let then = self.now.saturating_sub(lag);
+        let shown = self.lists.iter().rev().find(|l| l.0 <= then);
+        shown.map_or_else(Vec::new, |l| l.1.clone())
+    }
+
+    /// Remembers what the cloud may list later.
+    fn note_list(&mut self) {
+        if self.list_lag_ms == 0 || !self.now.is_multiple_of(1000) {
+            return;
+        }
+        let current = self.workers.iter().map(|w| w.rig.clone()).collect();
+        self.lists.push_back((self.now, current));
+        let oldest = self.now.saturating_sub(self.list_lag_ms * 2 + 2000);
+        while self.lists.front().is_some_and(|l| l.0 < oldest) {
+            self.lists.pop_front();
+        }
+    }
+
     fn commit(&mut self, i: usize, core: &mut Core, op: Op, txn: Txn, mood: Mood) -> bool {
         let mood = match (mood, self.rng.random_range(0..6)) {
             (Mood::Moody, 0) => Mood::LosesAnswers,
@@ -873,7 +970,9 @@
 
     fn play_worker(&mut self, at: usize) {
         // Its clock is as slow as it may be.
-        let lease_s = self.settings.platform.settings.workers.lease_s * 1.0005;
+        let workers = &self.settings.platform.settings.workers;
+        let lease_s = workers.lease_s * 1.0005;
+        let report_ms = (workers.report_s * 1000.0) as u64;
         let (now, lease) = (self.now, (lease_s * 1000.0) as u64);
         let w = &mut self.workers[at];
         if now < w.up_at {
@@ -890,15 +989,39 @@
             return;
         }
         let mut changed = false;
+        let mut begun: Vec<String> = Vec::new();
         for t in w.tasks.iter_mut().filter(|t| t.ended.is_none()) {
+            if t.fetch_ms > 0 {
+                t.fetch_ms = t.fetch_ms.saturating_sub(100);
+                if t.fetch_ms == 0 {
+                    begun.push(t.leg.clone());
+                    changed = true;
+                }
+                continue;
+            }
+            if let Some(left) = &mut t.save_ms {
+                *left = left.saturating_sub(100);
+                if *left == 0 {
+                    t.ended = Some(Cause::Halted);
+                    changed = true;
+                }
+                continue;
+            }
             t.left_ms = t.left_ms.saturating_sub(100);
             if t.left_ms == 0 {
                 let job = job_of(&t.leg);
                 let fails = w.sick || self.faulty.contains(job);
+                if !fails {
+                    self.completed.insert(t.leg.clone());
+                }
                 t.ended = Some(if fails { Cause::Error } else { Cause::Done });
                 changed = true;
             }
         }
+        for leg in begun {
+            self.note_start(at, leg);
+        }
+        let w = &mut self.workers[at];
         if let Some((sent, until, node)) = w.held {
             // One report at a time: it is still waiting for this answer.
             let (rig, number) = (w.rig.name.clone(), (w.shift, w.tally));
@@ -919,6 +1042,7 @@
             if now < until && !self.given.remove(&rig) {
                 return;
             }
+            let _span = tracing::debug_span!("controller", node, now).entered();
             let reply = core.answer_late(&rig, number, clock);
             match reached {
                 true => self.take_answer(at, reply, sent),
@@ -929,21 +1053,34 @@
         if (now < w.next_report && !changed) || now < w.silent_until || w.cut {
             return;
         }
-        w.next_report = now + 2000;
+        w.next_report = now + report_ms;
         w.tally += 1;
         let report = w.report();
         let node = w.at;
+        tracing::debug!(
+            now,
+            node,
+            rig = report.rig,
+            baton = report.baton,
+            shift = report.shift,
+            tally = report.tally,
+            "sends a report"
+        );
         let reaches = w.only.is_none_or(|o| o == node);
         for &age in &self.copies {
             let to = self.rng.random_range(0..self.nodes.len());
             self.late_reports.push((now + age, to, report.clone()));
         }
+        if self.copies_for_next && self.rng.random_bool(0.3) && self.kept_copies.len() < 5000 {
+            self.kept_copies.push(report.clone());
+        }
         if self.frozen(node) {
             // It finds the report when it goes on; nobody waits for the answer any more.
             self.late_reports.push((now + 100, node, report));
             self.give_up(at, now);
             return;
         }
+        let _span = self.span(node).entered();
         let clock = self.clock(node);
         let (rig, number) = (report.rig.clone(), (report.shift, report.tally));
         let reply = match (&mut self.nodes[node], self.links[node].workers && reaches) {
@@ -1006,46 +1143,16 @@
     fn execute(&mut self, at: usize, orders: Vec<Order>) {
         for order in orders {
             match order {
-                Order::Launch { leg, attempt } => {
-                    let w = &mut self.workers[at];
-                    if w.tasks.iter().any(|t| t.leg == leg) {
-                        continue;
-                    }
-                    let left_ms = self.run_ms;
-                    let task = Task {
-                        leg: leg.clone(),
-                        attempt,
-                        left_ms,
-                        ended: None,
-                    };
-                    w.tasks.push(task);
-                    let rig = w.rig.name.clone();
-                    let twice = self.workers.iter().enumerate().find(|(i, o)| {
-                        *i != at && o.tasks.iter().any(|t| t.leg == leg && t.ended.is_none())
-                    });
-                    if let Some((_, other)) = twice {
-                        let on = &other.rig.name;
-                        self.broken
-                            .push(format!("ran_twice: {leg} on {on} and {rig}"));
-                    }
-                    let job = job_of(&leg);
-                    if self.job(job).is_some_and(|j| j.status == JobStatus::Done) {
-                        self.broken
-                            .push(format!("{leg} starts after its job is done"));
-                    }
-                    self.check_place(at, job);
-                    let named = self.awaits.get(job).into_iter().flatten();
-                    if let Some(early) = named.clone().find(|a| !self.is_done(a)) {
-                        let what = format!("too_early: {leg} starts before {early} is done");
-                        self.broken.push(what);
-                    }
-                    self.starts.push((self.now, leg, rig));
-                }
-                Order::Stop { leg, attempt, .. } => {
-                    for t in &mut self.workers[at].tasks {
-                        if t.leg == leg && t.attempt == attempt && t.ended.is_none() {
-                            t.ended = Some(Cause::Halted);
-                        }
+                Order::Launch { leg, attempt } => self.launch(at, leg, attempt),
+                Order::Stop {
+                    leg,
+                    attempt,
+                    leeway_s,
+                } => {
+                    let save_ms = self.save_ms;
+                    let mut tasks = self.workers[at].tasks.iter_mut();
+                    if let Some(t) = tasks.find(|t| t.leg == leg && t.attempt == attempt) {
+                        t.stop(save_ms, (leeway_s * 1000.0) as u64);
                     }
                 }
                 Order::Clear { leg, attempt } => {
@@ -1057,6 +1164,97 @@
         }
     }
 
+    /// A machine is told to start a task (PROTOCOL, orders).
+    fn launch(&mut self, at: usize, leg: String, attempt: u64) {
+        let held = |t: &Task| t.leg == leg;
+        let tasks = &self.workers[at].tasks;
+        if tasks.iter().any(|t| held(t) && t.attempt == attempt) {
+            return;
+        }
+        let refused = if tasks.iter().any(|t| held(t) && t.ended.is_none()) {
+            Some(Cause::InUse)
+        } else if !self.has_room(at, &leg) {
+            Some(Cause::Full)
+        } else {
+            None
+        };
+        let left_ms = match self.completed.contains(&leg) {
+            true => 100,
+            false => self.run_ms,
+        };
+        let fetch_ms = self.fetch_ms;
+        self.workers[at].tasks.push(Task {
+            leg: leg.clone(),
+            attempt,
+            fetch_ms,
+            left_ms,
+            save_ms: None,
+            ended: refused,
+        });
+        if refused.is_none() && fetch_ms == 0 {
+            self.note_start(at, leg);
+        }
+    }
+
+    /// Puts a task on a machine behind everybody's back, for stories of the checker itself.
+    pub fn plant(&mut self, at: usize, leg: &str) {
+        self.workers[at].tasks.push(Task {
+            leg: leg.to_owned(),
+            attempt: u64::MAX,
+            fetch_ms: 0,
+            left_ms: 60_000,
+            save_ms: None,
+            ended: None,
+        });
+    }
+
+    /// Whether a machine has CPUs for one more task; those that fetch count.
+    fn has_room(&self, at: usize, leg: &str) -> bool {
+        let w = &self.workers[at];
+        let cpus = |leg: &str| self.specs.get(job_of(leg)).map_or(0.0, |s| s.vcpus);
+        let open = w.tasks.iter().filter(|t| t.ended.is_none());
+        let used: f64 = open.map(|t| cpus(&t.leg)).sum();
+        let frames = catalog().frames;
+        let frame = frames.iter().find(|f| f.label == w.rig.frame);
+        frame.is_none_or(|f| used + cpus(leg) <= f.vcpus + 1e-6)
+    }
+
+    /// A task has its image and starts.
+    fn note_start(&mut self, at: usize, leg: String) {
+        let rig = self.workers[at].rig.name.clone();
+        self.check_double_starts();
+        let job = job_of(&leg);
+        if self.job(job).is_some_and(|j| j.status == JobStatus::Done) {
+            self.broken
+                .push(format!("{leg} starts after its job is done"));
+        }
+        self.check_place(at, job);
+        let named = self.awaits.get(job).into_iter().flatten();
+        if let Some(early) = named.clone().find(|a| !self.is_done(a)) {
+            let what = format!("too_early: {leg} starts before {early} is done");
+            self.broken.push(what);
+        }
+        self.starts.push((self.now, leg, rig));
+    }
+
+    /// No task is on two machines, whoever can reach them.
+    fn check_double_starts(&mut self) {
+        let present = self.workers.iter().flat_map(|w| {
+            let on = w.tasks.iter().filter(|t| t.is_on_machine());
+            on.map(|t| (t.leg.as_str(), w.rig.name.as_str()))
+        });
+        if let Some(double) = occupancy::double_start(present) {
+            let [one, other] = double.machines;
+            let what = format!(
+                "ran_twice: {} on {one} and {other} at {}",
+                double.task, self.now
+            );
+            if self.broken.last() != Some(&what) {
+                self.broken.push(what);
+            }
+        }
+    }
+
     /// A task of a job has just started on a machine, where its job must permit it.
     fn check_place(&mut self, at: usize, name: &str) {
         let Some(spec) = self.job(name).map(|j| j.spec) else {
@@ -1115,13 +1313,14 @@
     }
 
     fn check(&mut self) {
+        self.check_double_starts();
         self.check_cancelled();
         self.check_ready();
         let mut used: HashMap<String, f64> = HashMap::new();
         for w in &self.workers {
-            for t in w.tasks.iter().filter(|t| t.ended.is_none()) {
-                let job = self.job(job_of(&t.leg)).expect("known");
-                *used.entry(job.spec.crew.clone()).or_default() += job.spec.vcpus;
+            for t in w.tasks.iter().filter(|t| t.is_on_machine()) {
+                let spec = &self.specs[job_of(&t.leg)];
+                *used.entry(spec.crew.clone()).or_default() += spec.vcpus;
             }
         }
         for t in &self.settings.platform.settings.teams {
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -6,10 +6,46 @@
 pub struct Task {
     pub leg: String,
     pub attempt: u64,
+    /// Until its image is there.
+    pub fetch_ms: u64,
+    /// Until it is complete, from when its image is there.
     pub left_ms: u64,
+    /// Until its progress is saved, once it was told to stop.
+    pub save_ms: Option<u64>,
     pub ended: Option<Cause>,
 }
 
+impl Task {
+    /// Whether it is on its machine as the rules count it: from when its image is there until it
+    /// exits, saving included.
+    pub fn is_on_machine(&self) -> bool {
+        self.fetch_ms == 0 && self.ended.is_none()
+    }
+
+    /// As its worker reports it.
+    fn status(&self) -> LegStatus {
+        match (self.ended, self.save_ms) {
+            (Some(_), _) => LegStatus::Ended,
+            (None, Some(_)) => LegStatus::Flushing,
+            (None, None) if self.fetch_ms > 0 => LegStatus::Fetching,
+            (None, None) => LegStatus::Running,
+        }
+    }
+
+    /// Told to stop: one that has begun saves first if it is given the time that this takes.
+    pub fn stop(&mut self, save_ms: u64, leeway_ms: u64) {
+        if self.ended.is_some() || (self.save_ms.is_some() && leeway_ms > 0) {
+            return;
+        }
+        let saves = self.is_on_machine() && self.save_ms.is_none() && save_ms > 0;
+        if saves && leeway_ms >= save_ms {
+            self.save_ms = Some(save_ms);
+        } else {
+            self.ended = Some(Cause::Halted);
+        }
+    }
+}
+
 /// A worker.
 pub struct Worker {
     pub rig: ListedRig,
@@ -43,11 +79,7 @@
         let leg = |t: &Task| Leg {
             leg: t.leg.clone(),
             attempt: t.attempt,
-            status: if t.ended.is_some() {
-                LegStatus::Ended
-            } else {
-                LegStatus::Running
-            },
+            status: t.status(),
             cause: t.ended,
             saved: None,
         };
