A holder acts on a grant only once its watch has reached it

Cause: own commits show in a controller's replica at once, what others wrote comes by the watch.

Change: Core::holds asks, besides the holder's name and life, whether the watch has reached the grant's revision; reports, waiting answers, machines' runtimes and divided blocks ask it, and so does the leadership, which had the same guard by itself.

--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -70,6 +70,21 @@
         self.authority_until().is_some_and(|until| now < until)
     }
 
+    /// Whether a key names this controller in its present life.
+    pub(crate) fn is_mine(&self, owner: &Owner) -> bool {
+        owner.host == self.me && owner.boot == self.boot
+    }
+
+    /// Whether this controller holds a block by this grant and its replica shows all that earlier
+    /// holders wrote.
+    ///
+    /// Guards against an own grant that shows before the watch has brought what was written before
+    /// it: the queues would still list tasks that the former holder had given away, and starting
+    /// one needs no write that could fail.
+    pub(crate) fn holds(&self, grant: &Owner) -> bool {
+        self.is_mine(grant) && self.view.ledger >= grant.stamp
+    }
+
     /// Whether this controller knows how things stand, if it ever stood still.
     ///
     /// Guards against timers that went on without us: machines and peers seem silent that were
@@ -228,11 +243,14 @@
                 self.drop_machine(ix);
             }
         }
+        let mut early_grants = Vec::new();
         for id in touched.blocks {
             let grant = self.view.grants.get(&id).copied();
-            let token = grant
-                .filter(|g| g.host == self.me && g.boot == self.boot)
-                .map(|g| g.stamp);
+            let mine = grant.filter(|g| self.is_mine(g));
+            let token = mine.filter(|g| self.holds(g)).map(|g| g.stamp);
+            if mine.is_some() && token.is_none() {
+                early_grants.push(id);
+            }
             let machines = self.view.blocks.get(&id).map(|b| b.machines.clone());
             for ix in machines.unwrap_or_default() {
                 self.follow_machine(ix, token, now);
@@ -245,6 +263,8 @@
                 }
             }
         }
+        // Looked at again with the next change, until the watch has reached their grants.
+        self.view.touched.blocks.extend(early_grants);
     }
 
     /// A machine's runtime belongs to one token.
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -77,9 +77,7 @@
 
     /// The term, while this controller leads.
     pub fn leads(&self) -> Option<Owner> {
-        self.view
-            .lead
-            .filter(|l| l.host == self.me && l.boot == self.boot && self.view.ledger >= l.stamp)
+        self.view.lead.filter(|l| self.holds(l))
     }
 
     pub(crate) fn tick_leadership(&mut self, now: Ms, started: Ms, out: &mut Vec<Action>) {
@@ -89,7 +87,7 @@
         let take = match self.view.lead {
             None => true,
             // Taken, but the replica has not caught up with the taking yet.
-            Some(l) if l.host == self.me && l.boot == self.boot => false,
+            Some(l) if self.is_mine(&l) => false,
             // An earlier life of this very controller led: nobody else can be hurt.
             Some(l) if l.host == self.me => true,
             Some(l) => {
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -76,7 +76,7 @@
                 None => Reply::Unavailable,
             };
         };
-        if grant.host != self.me || grant.boot != self.boot {
+        if !self.is_mine(&grant) {
             self.counters.redirects += 1;
             self.stray(&r, grant.stamp, now);
             // A holder that is silent to us is not named: the worker would wait for it in vain.
@@ -91,6 +91,9 @@
             self.counters.redirects += 1;
             return Reply::Elsewhere(Some(self.view.names.hosts.name(holder).to_owned()));
         }
+        if !self.holds(&grant) {
+            return Reply::Unavailable;
+        }
         if !self.has_authority(now) || r.baton > grant.stamp {
             // Without authority, or with a later holder about, an answer would only hold the
             // worker here while its lease runs.
@@ -453,7 +456,7 @@
         let Some((ix, grant)) = held else {
             return Reply::Unavailable;
         };
-        if grant.host != self.me || grant.boot != self.boot || !self.has_authority(now) {
+        if !self.holds(&grant) || !self.has_authority(now) {
             return Reply::Elsewhere(None);
         }
         let Some(mut runtime) = self.runtime.remove(&ix) else {
--- a/src/core/splitting.rs
+++ b/src/core/splitting.rs
@@ -47,7 +47,7 @@
             .filter(|(_, b)| self.is_oversized(b));
         let mine = |id: &BlockId| {
             let grant = self.view.grants.get(id);
-            grant.is_some_and(|g| g.host == self.me && g.boot == self.boot)
+            grant.is_some_and(|g| self.holds(g))
         };
         blocks.map(|(&id, _)| id).filter(mine).collect()
     }
