--- a/src/api.rs
+++ b/src/api.rs
@@ -1,7 +1,7 @@
 //! HTTP: users, workers and health checks on the public address; peers and operators behind.
 
 use crate::clock::{Clock, Ms};
-use crate::core::{Core, Outcome, Reply};
+use crate::core::{Core, NO_TOKEN, Outcome, Reply};
 use crate::fresh::Fresh;
 use crate::jobs::{self, Finals, chained};
 use crate::records::{JobRecord, WaitingRecord};
@@ -261,6 +261,26 @@
     }
 }
 
+impl Door {
+    /// Takes a worker's report in, if need be after the replica has caught up with the state service.
+    async fn take_report(&self, report: Report) -> Reply {
+        let now = self.shared.now();
+        // Only what shows no token yet may have to be taken in once more.
+        let kept = (report.baton == NO_TOKEN).then(|| report.clone());
+        let reply = self.shared.core.lock().on_report(report, now);
+        let (Reply::Unconfirmed, Some(report)) = (&reply, kept) else {
+            return reply;
+        };
+        let fresh = &self.shared.fresh;
+        let caught_up = fresh.catch_up(&self.state, self.pause, READ_WAIT).await;
+        if caught_up.is_err() {
+            return Reply::Unavailable;
+        }
+        let now = self.shared.now();
+        self.shared.core.lock().on_confirmed_report(report, now)
+    }
+}
+
 type Body = Result<web::Bytes, actix_web::Error>;
 
 async fn submit(door: web::Data<Door>, body: Body) -> HttpResponse {
@@ -301,14 +321,14 @@
         Ok(r) => r,
         Err(e) => return refuse(StatusCode::BAD_REQUEST, &e.to_string()),
     };
-    let now = door.shared.now();
     let (rig, number) = (report.rig.clone(), (report.shift, report.tally));
-    let (mut reply, patience) = {
-        let mut core = door.shared.core.lock();
-        let reply = core.on_report(report, now);
-        let nothing = matches!(&reply, Reply::Orders(o) if o.orders.is_empty());
-        let patience = nothing.then(|| core.may_wait(&rig, number, now));
-        (reply, patience.flatten())
+    let mut reply = door.take_report(report).await;
+    let patience = match &reply {
+        Reply::Orders(o) if o.orders.is_empty() => {
+            let now = door.shared.now();
+            door.shared.core.lock().may_wait(&rig, number, now)
+        }
+        _ => None,
     };
     if let Some(ms) = patience {
         let (sender, given) = oneshot::channel();
@@ -325,7 +345,7 @@
             Some(to) => serde_json::json!({ "dispatcher": to }),
             None => serde_json::json!({}),
         }),
-        Reply::Unavailable => unavailable("not in charge of this machine"),
+        Reply::Unconfirmed | Reply::Unavailable => unavailable("not in charge of this machine"),
     }
 }
 
--- a/src/core/commits.rs
+++ b/src/core/commits.rs
@@ -32,7 +32,38 @@
     pub(crate) payload: Payload,
 }
 
+/// When the replica surely shows whether a transaction was carried out.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Settled {
+    /// Once it has reached a revision.
+    AtRevision(u64),
+    /// Once a watch has answered that was opened then or later.
+    ByWatchSince(Ms),
+}
+
+/// What a transaction may have done by a copy that had no answer, although it cannot be carried out
+/// any more.
+#[derive(Debug, Clone)]
+pub(crate) struct Unseen {
+    settled: Settled,
+    payload: Payload,
+}
+
 impl Core {
+    /// Forgets what the replica has caught up with.
+    pub(crate) fn settle_unseen(&mut self) {
+        let (ledger, confirmed) = (self.view.ledger, self.confirmed);
+        let shown = |u: &mut Unseen| match u.settled {
+            Settled::AtRevision(revision) => revision <= ledger,
+            Settled::ByWatchSince(sent) => confirmed.is_some_and(|c| c >= sent),
+        };
+        for seen in self.unseen.extract_if(.., shown) {
+            for e in seen.payload.moves.iter().flat_map(|m| &m.entries) {
+                self.reserved.remove(e);
+            }
+        }
+    }
+
     /// Whether an ending of this entry waits to be recorded.
     pub(crate) fn ended(&self, ix: MachineIx, e: &Entry) -> bool {
         self.ends
@@ -68,7 +99,7 @@
     /// showing it yet.
     fn payloads(&self) -> impl Iterator<Item = &Payload> {
         let flights = self.ops.values().map(|f| &f.payload);
-        flights.chain(self.unseen.iter().map(|u| &u.1))
+        flights.chain(self.unseen.iter().map(|u| &u.payload))
     }
 
     /// Tasks whose binding is under way.
@@ -163,7 +194,10 @@
                 // machines: until the replica shows whether it did, the tasks stay put, and nothing
                 // is bound or placed in another block. Other blocks need not wait for this one's
                 // failed guard.
-                self.unseen.push((ledger, flight.payload));
+                self.unseen.push(Unseen {
+                    settled: Settled::AtRevision(ledger),
+                    payload: flight.payload,
+                });
                 // Somebody else was faster; the next try need not wait for its turn.
                 let again = Turn::at(now.plus(jitter / 4));
                 self.op_after.insert(op, again);
@@ -174,8 +208,16 @@
                 if outcome != Outcome::Malformed {
                     self.refused_at = Some(now);
                 }
-                for e in flight.payload.moves.iter().flat_map(|m| &m.entries) {
-                    self.reserved.remove(e);
+                if flight.unsure {
+                    // The limits may have fallen since a copy that had no answer was carried out.
+                    self.unseen.push(Unseen {
+                        settled: Settled::ByWatchSince(now),
+                        payload: flight.payload,
+                    });
+                } else {
+                    for e in flight.payload.moves.iter().flat_map(|m| &m.entries) {
+                        self.reserved.remove(e);
+                    }
                 }
                 // What the service calls malformed is never sent again as it is, and what takes
                 // its place may be no better.
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -217,12 +217,7 @@
                 p.done.retain(|j, _| stays(j));
             }
         }
-        let ledger = self.view.ledger;
-        for (_, seen) in self.unseen.extract_if(.., |u| u.0 <= ledger) {
-            for e in seen.moves.iter().flat_map(|m| &m.entries) {
-                self.reserved.remove(e);
-            }
-        }
+        self.settle_unseen();
         // Kept in the state service too, for controllers that start while the cloud is away.
         if self.frames.is_empty()
             && let Some(frames) = self.view.catalog.clone()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 mod usage;
 
 pub use metrics::Counters;
+pub(crate) use reports::NO_TOKEN;
 use runtime::StrayState;
 pub(crate) use runtime::{Fails, MachineInfo, MachineRuntime, PeerState, TaskRuntime};
 
@@ -31,8 +32,8 @@
     load_key, node_key,
 };
 use crate::wire::{
-    Cause, Change, Frame, Guard, JobStatus, Json, LegStatus, MachineNews, NewsList, Order, Orders,
-    PeerNews, Report, Stray, Txn,
+    Cause, Change, Frame, Guard, JobStatus, Json, Leg, LegStatus, MachineNews, NewsList, Order,
+    Orders, PeerNews, Report, Stray, Txn,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -119,6 +120,9 @@
     Orders(Orders),
     /// 421, naming a controller if one is known to be better.
     Elsewhere(Option<String>),
+    /// To be taken in again by [`Core::on_confirmed_report`] once the replica shows everything that
+    /// was written before the report arrived.
+    Unconfirmed,
     /// 503.
     Unavailable,
 }
@@ -173,9 +177,9 @@
     running: HashMap<JobIx, u32>,
     pub(crate) moves: Vec<Move>,
     pub(crate) reserved: HashSet<Entry>,
-    /// What writes with a failed condition may have done all the same, by a copy that had no
-    /// answer, until the replica is at the revision.
-    unseen: Vec<(u64, commits::Payload)>,
+    /// What writes that failed may have done all the same, by a copy that had no answer, until the
+    /// replica shows whether they did.
+    unseen: Vec<commits::Unseen>,
     ops: HashMap<Op, commits::InFlight>,
     op_after: HashMap<Op, pacing::Turn>,
     /// How fast the turns of gathered writes follow one another.
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -10,12 +10,17 @@
 /// Ended tasks that wait at most.
 const CLEARED: usize = 8;
 
+/// The token of a worker that has seen none since it began (PROTOCOL, tokens).
+pub(crate) const NO_TOKEN: u64 = 0;
+
 /// What a report is worth.
 enum Worth {
     /// It is old, or must not be answered.
     Nothing,
     /// It may show that a machine which was given up is back.
     Revival,
+    /// It counts only if this controller still holds the machine.
+    Unconfirmed,
     /// It is answered with commands.
     Answer,
 }
@@ -35,6 +40,13 @@
     }
 }
 
+/// Whether a report shows another attempt of a task that has not ended.
+fn other_attempt_is_there(r: &Report, leg: &Leg) -> bool {
+    let same_task = r.legs.iter().filter(|l| l.leg == leg.leg);
+    let mut others = same_task.filter(|l| l.attempt != leg.attempt);
+    others.any(|l| l.status != LegStatus::Ended)
+}
+
 impl Core {
     pub(crate) fn stray(&mut self, r: &Report, token: u64, now: Ms) {
         let fresh = StrayState {
@@ -63,6 +75,15 @@
 
     /// A worker reports.
     pub fn on_report(&mut self, r: Report, now: Ms) -> Reply {
+        self.take_report(r, false, now)
+    }
+
+    /// The same for a report since whose arrival the replica has caught up with the state service.
+    pub fn on_confirmed_report(&mut self, r: Report, now: Ms) -> Reply {
+        self.take_report(r, true, now)
+    }
+
+    fn take_report(&mut self, r: Report, confirmed: bool, now: Ms) -> Reply {
         let known = self.view.names.machines.get(&r.rig);
         let Some((ix, (_, grant))) = known.and_then(|m| Some((m, self.view.holder(m)?))) else {
             self.stray(&r, 0, now);
@@ -101,8 +122,9 @@
             return Reply::Elsewhere(None);
         }
         let mut runtime = self.runtime.remove(&ix).unwrap_or_default();
-        let reply = match self.judge(ix, &mut runtime, &r, now) {
+        let reply = match self.judge(ix, &mut runtime, &r, confirmed, now) {
             Worth::Nothing => Reply::Unavailable,
+            Worth::Unconfirmed => Reply::Unconfirmed,
             Worth::Revival => self.revive(ix, &mut runtime, &r, grant.stamp, now),
             Worth::Answer => {
                 self.strays.remove(&r.rig);
@@ -121,7 +143,14 @@
 
     /// What a report is worth. Reports may be copies from long ago, of this life of the worker or
     /// of an earlier one.
-    fn judge(&self, ix: MachineIx, runtime: &mut MachineRuntime, r: &Report, now: Ms) -> Worth {
+    fn judge(
+        &self,
+        ix: MachineIx,
+        runtime: &mut MachineRuntime,
+        r: &Report,
+        confirmed: bool,
+        now: Ms,
+    ) -> Worth {
         let number = (r.shift, r.tally);
         if r.baton == runtime.token {
             // Made under this grant: the numbers tell which is the newest. A copy renews nothing
@@ -141,6 +170,13 @@
             }
             return Worth::Nothing;
         }
+        if r.baton == NO_TOKEN && !confirmed {
+            // Guards against a worker that begins anew and would obey any controller that ever held
+            // it, also one whose block was granted to another long ago and whose copy of the queue
+            // lists what has moved since. A life of a worker adopts a token only if that was the
+            // present one after the life had begun; from then on the token protects it.
+            return Worth::Unconfirmed;
+        }
         if runtime.lost {
             return Worth::Revival;
         }
@@ -286,7 +322,11 @@
                     Some(Cause::Error) => End::Failed,
                     _ => End::Free,
                 };
-                if !ended_before(&entry) {
+                // Anything but a completion is believed only if it was reported under our token and
+                // no other attempt is there. A copy from an earlier session may tell of an attempt
+                // that has been started again since.
+                let proven = runtime.fenced && !other_attempt_is_there(r, leg);
+                if !ended_before(&entry) && (end == End::Done || proven) {
                     if let (Some(job), End::Done, Some(since), Some(was)) = (job, end, since, was)
                         && was.status == LegStatus::Running
                         && job.spec.ride_s > 0.0
@@ -330,9 +370,13 @@
                 });
             }
         }
-        let (launches, freed) = self.launch(ix, runtime, used, leaving);
-        orders.extend(launches);
-        new_ends.extend(freed);
+        // A worker that has seen no token yet is only given ours: what it is to start comes once it
+        // has shown that it obeys.
+        if r.baton != NO_TOKEN {
+            let (launches, freed) = self.launch(ix, runtime, used, leaving);
+            orders.extend(launches);
+            new_ends.extend(freed);
+        }
         // A cleared task is a change, and every change is one more report: it waits for a command
         // that changes the machine's tasks anyway, but not for long.
         if clears.is_empty() {
--- a/src/view.rs
+++ b/src/view.rs
@@ -228,13 +228,18 @@
 
 impl View {
     /// Takes a full read of the watched part that began at revision `ledger`.
+    ///
+    /// Guards against a read that was under way while this controller wrote: what it wrote is newer,
+    /// and without it a task that had just been bound would count as unbound.
     pub fn load(&mut self, items: Vec<Item>, ledger: u64) {
         let mut keep: std::collections::HashSet<String> = Default::default();
         // Jobs come first, for blocks speak of them.
         let (jobs, rest): (Vec<Item>, Vec<Item>) =
             items.into_iter().partition(|i| i.k.starts_with(JOBS));
         for item in jobs.into_iter().chain(rest) {
-            self.put(&item.k, &item.v, item.stamp);
+            if item.stamp >= self.stamp(&item.k) {
+                self.put(&item.k, &item.v, item.stamp);
+            }
             keep.insert(item.k);
         }
         // What an earlier replica held and the read no longer shows was dropped meanwhile.
@@ -251,7 +256,9 @@
         let waiting = self.waiting.jobs.keys();
         gone.extend(waiting.map(|&j| waiting_key(self.names.jobs.name(j))));
         for key in gone.into_iter().filter(|k| !keep.contains(k)) {
-            self.remove(&key);
+            if self.stamp(&key) <= ledger {
+                self.remove(&key);
+            }
         }
         self.ledger = self.ledger.max(ledger);
         self.synced = true;
--- a/src/view/tests.rs
+++ b/src/view/tests.rs
@@ -45,3 +45,37 @@
     spec.legs = 20_000;
     assert!(job_of(spec).most_open(4032) > 280);
 }
+
+/// A transaction that writes a key.
+fn put(key: &str, value: &serde_json::Value) -> Txn {
+    Txn {
+        guards: Vec::new(),
+        then: vec![Change::Put {
+            put: key.to_owned(),
+            v: Json::of(value),
+            permit: None,
+        }],
+    }
+}
+
+#[test]
+fn a_full_read_undoes_nothing_that_was_written_here_after_it_began() {
+    // It would have shown a task as unbound that this controller had just bound.
+    let mut view = View::default();
+    let (lead, grant) = (LEAD.to_owned(), grant_key(BlockId(0)));
+    let owner = |boot: u64| serde_json::json!({ "h": "n0", "b": boot });
+    view.load(Vec::new(), 3);
+    view.apply_own(&put(&lead, &owner(1)), 9);
+    view.apply_own(&put(&grant, &owner(1)), 10);
+    let item = Item {
+        k: lead.clone(),
+        v: Json::of(&owner(7)),
+        stamp: 5,
+    };
+    view.load(vec![item], 6);
+    assert_eq!((view.stamp(&lead), view.stamp(&grant)), (9, 10));
+    assert_eq!(view.lead.map(|l| l.boot), Some(Boot(1)));
+    // What the read shows to be gone, and was not written since, is dropped all the same.
+    view.load(Vec::new(), 12);
+    assert_eq!((view.stamp(&lead), view.stamp(&grant)), (0, 0));
+}
--- a/tests/double_starts.rs
+++ b/tests/double_starts.rs
@@ -5,8 +5,9 @@
 
 use quillbend::ranges::RangeSet;
 use quillbend::records::BlockRecord;
-use support::World;
+use quillbend::wire::{Cause, Leg, LegStatus};
 use support::occupancy::{DoubleStart, double_start};
+use support::{Mood, World};
 
 #[test]
 fn the_checker_sees_a_task_on_two_machines_and_nothing_else() {
@@ -155,3 +156,145 @@
     }
     assert!(taken_over >= 2, "{taken_over}");
 }
+
+#[test]
+fn an_ending_in_a_report_of_an_earlier_session_frees_nothing_that_has_started_again() {
+    // A new holder took in what a late copy said had failed, before the machine had shown its token.
+    // The task had been started again in the machine's next session.
+    for seed in 0..6 {
+        let (mut w, _) = World::busy(seed, 3, 60_000);
+        w.cloud_up = false;
+        w.run_ms = 60_000;
+        let runs = |m: &support::Worker| !m.tasks.is_empty();
+        let at = w.workers.iter().position(runs).expect("something runs");
+        // Its task fails; the report of this is held up on its way.
+        w.workers[at].cut = true;
+        let mut late = w.workers[at].report();
+        late.tally += 1;
+        late.legs[0].status = LegStatus::Ended;
+        late.legs[0].cause = Some(Cause::Error);
+        let task = late.legs[0].leg.clone();
+        // All controllers are away until its session is over.
+        (0..3).for_each(|i| w.crash(i));
+        w.run(13_000);
+        w.workers[at].cut = false;
+        (0..3).for_each(|i| w.start(i));
+        let rig = w.workers[at].rig.name.clone();
+        let since = w.now;
+        w.until(30_000, "it runs again", |w| {
+            let again = |s: &(u64, String, String)| s.0 > since && s.1 == task && s.2 == rig;
+            w.starts.iter().any(again)
+        });
+        for i in 0..3 {
+            let clock = w.clock(i);
+            let core = &mut w.nodes[i].as_mut().expect("alive").core;
+            core.on_report(late.clone(), clock);
+        }
+        let starts = |w: &World| w.starts.iter().filter(|s| s.1 == task).count();
+        let before = starts(&w);
+        w.run(20_000);
+        assert_eq!(starts(&w), before, "{task} was started once more");
+        w.assert_kept();
+    }
+}
+
+#[test]
+fn a_worker_that_begins_anew_gets_nothing_from_a_controller_that_holds_it_no_more() {
+    // Its token is 0 again, so it would obey anybody. A controller that had never heard it under an
+    // older grant, and does not know of the newer one, started what had long moved elsewhere.
+    for seed in 0..6 {
+        let mut w = World::settled(seed, 3, 3);
+        w.run(3000);
+        w.cloud_up = false;
+        let leader = w.leader().expect("leads");
+        let stale = (0..3).find(|&i| i != leader).expect("three of them");
+        let other = |at: &usize| w.holder(&w.workers[*at].rig.name) != Some(stale);
+        let at = (0..3).find(other).expect("one is held by another");
+        let rig = w.workers[at].rig.name.clone();
+        w.workers[at].cut = true;
+        w.run_ms = 6000;
+        w.submit(1, w.spec(12));
+        w.until(4000, "bound", |w| {
+            !block_of(w, &rig).1.machines[&rig].queue.is_empty()
+        });
+        // A controller is granted the block, and is then cut from all but the workers.
+        let stale_grant = grant_of(&w, stale);
+        let (key, _) = block_of(&w, &rig);
+        w.state
+            .overwrite(&key.replace("block", "grant"), &stale_grant);
+        w.run(200);
+        w.strand(stale);
+        w.run(5000);
+        // The next holder finds that it may not start anything there, and frees what is bound.
+        w.workers[at].cut = false;
+        w.workers[at].recall_s = Some(30.0);
+        w.run_ms = 60_000;
+        w.until(9000, "freed", |w| {
+            block_of(w, &rig).1.machines[&rig].queue.is_empty()
+        });
+        w.until(9000, "it runs elsewhere", |w| w.running() >= 4);
+        w.restart_machine(at);
+        w.workers[at].recall_s = None;
+        w.workers[at].at = stale;
+        assert!(w.core(stale).has_authority(w.clock(stale)));
+        w.run(3000);
+        w.assert_kept();
+    }
+}
+
+/// The grant of some block that a controller holds.
+fn grant_of(w: &World, i: usize) -> serde_json::Value {
+    let (items, _) = w.state.list("qb/grant/");
+    let values = items.into_iter().filter_map(|item| w.state.value(&item.k));
+    let name = format!("n{i}");
+    let mut mine = values.filter(|v| v["h"] == name.as_str());
+    mine.next().expect("it holds something")
+}
+
+#[test]
+fn a_binding_without_an_answer_is_not_forgotten_when_its_repeat_is_called_malformed() {
+    // The service's limits may fall between the two.
+    for seed in 0..12 {
+        let mut w = World::settled(seed, 3, 6);
+        w.cloud_up = false;
+        w.run(3000);
+        let leader = w.leader().expect("leads");
+        w.run_ms = 20_000;
+        w.links[leader].state = Mood::Slow(2500);
+        for n in 1..=4 {
+            w.submit(n, w.spec(4));
+            w.run(300);
+            w.state.limits = Some((10, 1));
+            w.run(500);
+            w.state.limits = None;
+            w.run(700);
+        }
+        w.links[leader].state = Mood::Good;
+        w.run(5000);
+        w.assert_kept();
+    }
+}
+
+#[test]
+fn a_task_that_is_refused_because_it_is_there_already_is_not_free() {
+    let (mut w, _) = World::busy(3, 3, 60_000);
+    let runs = |m: &support::Worker| !m.tasks.is_empty();
+    let at = w.workers.iter().position(runs).expect("something runs");
+    let rig = w.workers[at].rig.name.clone();
+    let holder = w.holder(&rig).expect("held");
+    let before = block_of(&w, &rig).1.machines[&rig].queue.clone();
+    let mut report = w.workers[at].report();
+    report.tally += 1;
+    let listed = report.legs[0].clone();
+    report.legs[0].status = LegStatus::Ended;
+    report.legs[0].cause = Some(Cause::InUse);
+    let attempt = listed.attempt - 1;
+    report.legs.push(Leg { attempt, ..listed });
+    let clock = w.clock(holder);
+    let core = &mut w.nodes[holder].as_mut().expect("alive").core;
+    core.on_report(report, clock);
+    // Its worker is out of sight for a moment: nothing else tells of the task.
+    w.workers[at].cut = true;
+    w.run(4000);
+    assert_eq!(block_of(&w, &rig).1.machines[&rig].queue, before);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1083,9 +1083,18 @@
         let _span = self.span(node).entered();
         let clock = self.clock(node);
         let (rig, number) = (report.rig.clone(), (report.shift, report.tally));
+        let state_refuses = self.link(node).state == Mood::Refuses;
         let reply = match (&mut self.nodes[node], self.links[node].workers && reaches) {
             (Some(n), true) => {
-                let reply = n.core.on_report(report, clock);
+                let reply = n.core.on_report(report.clone(), clock);
+                // It is confirmed as the door does it, by a read of the state service.
+                let current = n.core.view.ledger >= self.state.ledger;
+                let reply = match reply {
+                    Reply::Unconfirmed if current && !state_refuses => {
+                        n.core.on_confirmed_report(report, clock)
+                    }
+                    reply => reply,
+                };
                 let nothing = matches!(&reply, Reply::Orders(o) if o.orders.is_empty());
                 let patience = nothing.then(|| n.core.may_wait(&rig, number, clock));
                 if let Some(ms) = patience.flatten()
@@ -1133,7 +1142,7 @@
                 w.at = position(&to).unwrap_or(0);
                 w.next_report = now + 100;
             }
-            Reply::Elsewhere(None) | Reply::Unavailable => {
+            Reply::Elsewhere(None) | Reply::Unavailable | Reply::Unconfirmed => {
                 w.at = (w.at + 1) % self.nodes.len();
                 w.next_report = now + 1000;
             }
