A worker that begins anew has its block granted once, not until the leader next looks

Each grant is a change of the budget and makes the block's machines show the token once more.

Change: a grant whose token has not been noted yet is new.

--- a/src/leader/grants.rs
+++ b/src/leader/grants.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Least age of a grant that is made anew because a worker has begun anew, ms.
+const ANEW_GRANT_MS: u64 = 3000;
+
 impl Core {
     /// Whether this controller has listened for long enough to call another one silent. Hearing
     /// goes on whoever leads, so a new leader that has been up for a while need not wait.
@@ -156,8 +159,10 @@
     /// Whether the worker of some machine of a block has begun anew. Old copies of its earlier
     /// life's reports could pass for new ones for as long as the token is the same.
     fn begun_anew(&self, id: BlockId, now: Ms) -> bool {
+        // A grant that was not there at the last look is new: what is known of its machines is older.
+        let token = self.view.grants.get(&id).map(|g| g.stamp);
         let granted = self.lead.granted.get(&id);
-        granted.is_some_and(|g| now.since(g.1) > 3000)
+        granted.is_some_and(|g| Some(g.0) == token && now.since(g.1) > ANEW_GRANT_MS)
             && self.view.blocks.get(&id).is_some_and(|b| {
                 let anew = |m: &MachineIx| self.machine_info(*m, now).is_some_and(|i| i.anew);
                 b.machines.iter().any(anew)
--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -257,6 +257,21 @@
     assert!(used || w.returned.contains(&rig), "its new life is ignored");
 }
 
+#[test]
+fn a_worker_that_begins_anew_has_its_block_granted_once() {
+    // The leader granted it again and again until it next looked when each grant had been made.
+    for seed in 0..4 {
+        let (mut w, _) = busy(40 + seed, 3, 30_000);
+        w.run(5000);
+        let before = w.state.writes_to("qb/grant/");
+        w.restart_machine(with_tasks(&w)[0]);
+        w.run(4000);
+        let grants = w.state.writes_to("qb/grant/") - before;
+        assert_eq!(grants, 1, "seed {seed}");
+        w.assert_kept();
+    }
+}
+
 #[test]
 fn refused_connections_between_controllers_change_no_leader_and_no_holder() {
     for nodes in [3, 5] {
