Looks at what is due follow changes: divided blocks, finished and ready jobs, blocks without grants

Need: about 4,000 machines. Each look at what is due added up the machines of all blocks before it asked whose they were, looked through all jobs for finished ones and through all waiting jobs for ready ones.

Change: a block is judged when it or its holder changes, a job counts as complete when its last task shows as done, ready jobs and blocks without a grant are looked for only after a change of the replica. What is decided does not change; all tests pass.

--- a/benches/costs.rs
+++ b/benches/costs.rs
@@ -113,7 +113,7 @@
 }
 
 fn main() {
-    for machines in [50, 200, 700, 1850] {
+    for machines in [50, 200, 700, 1850, 4000] {
         costs(machines);
     }
     let mut submission = Cost::new("reading and judging a submission");
--- a/src/core/endings.rs
+++ b/src/core/endings.rs
@@ -80,7 +80,7 @@
         let machines = machines.chain(self.moves.iter().map(|m| m.victim));
         let blocks: std::collections::BTreeSet<BlockId> = machines
             .filter_map(|m| Some(self.view.machines.get(&m)?.block))
-            .chain(self.oversized_blocks())
+            .chain(self.oversized.iter().copied())
             .collect();
         for id in blocks {
             let op = Op::Ends(id);
@@ -144,8 +144,7 @@
     /// Plans the write of a block's endings and moves.
     fn plan_ends(&mut self, id: BlockId) -> Option<(Txn, Payload)> {
         let (draft, mut payload) = self.draft_without_ended(id);
-        let block = self.view.blocks.get(&id)?;
-        if self.is_oversized(block)
+        if self.oversized.contains(&id)
             && let Some(split) = self.plan_split(id, &draft, &payload)
         {
             return Some(split);
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -240,6 +240,7 @@
         }
         let mut early_grants = Vec::new();
         for id in touched.blocks {
+            self.note_size(id);
             let grant = self.view.grants.get(&id).copied();
             let mine = grant.filter(|g| self.is_mine(g));
             let token = mine.filter(|g| self.holds(g)).map(|g| g.stamp);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -37,7 +37,7 @@
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use tracing::{debug, info, warn};
 
 /// Something for the service to do.
@@ -184,8 +184,12 @@
     op_after: HashMap<Op, pacing::Turn>,
     /// How fast the turns of gathered writes follow one another.
     speed: pacing::Speed,
-    /// Since when many blocks have no valid grant.
+    /// Since when many blocks have no valid grant, and the change of the replica that it was last
+    /// judged at.
     unheld_since: Option<Ms>,
+    unheld_judged: u64,
+    /// Blocks held here that are to be divided.
+    oversized: BTreeSet<BlockId>,
     /// Revision that the replica must reach before the next one of a kind is planned.
     op_wait: HashMap<Op, u64>,
     /// When the state service last refused a write for its budget.
@@ -285,6 +289,8 @@
             op_after: HashMap::new(),
             speed: pacing::Speed::default(),
             unheld_since: None,
+            unheld_judged: 0,
+            oversized: BTreeSet::new(),
             op_wait: HashMap::new(),
             refused_at: None,
             user_refused: None,
@@ -432,7 +438,10 @@
                 self.view.names.zones.intern(y);
             }
             let ix = self.view.names.frames.intern(&f.label);
-            self.frames.insert(ix, f);
+            if self.frames.insert(ix, f).is_none() {
+                // How much the machines of a block may come to list is known only now.
+                self.view.touch_all();
+            }
         }
     }
 
--- a/src/core/pacing.rs
+++ b/src/core/pacing.rs
@@ -107,6 +107,9 @@
     /// at once: the grants of fifty blocks then took six seconds, and with the time of the restart
     /// the leases of workers ran out.
     pub(crate) fn note_unheld(&mut self, now: Ms) {
+        if std::mem::replace(&mut self.unheld_judged, self.view.version) == self.view.version {
+            return;
+        }
         let valid = |id: &BlockId| {
             let grant = self.view.grants.get(id);
             grant.is_some_and(|g| {
--- a/src/core/splitting.rs
+++ b/src/core/splitting.rs
@@ -36,27 +36,24 @@
 }
 
 impl Core {
-    /// Blocks held here that are to be divided: their values are too large to be written as they
-    /// are, or too many machines share one value. A version that does not know of lower limits to
-    /// come may have filled them.
-    pub(crate) fn oversized_blocks(&self) -> Vec<BlockId> {
-        let blocks = self
-            .view
-            .blocks
-            .iter()
-            .filter(|(_, b)| self.is_oversized(b));
-        let mine = |id: &BlockId| {
-            let grant = self.view.grants.get(id);
-            grant.is_some_and(|g| self.holds(g))
-        };
-        blocks.map(|(&id, _)| id).filter(mine).collect()
+    /// Takes note of whether a block that was touched is held here and is to be divided: its value is
+    /// too large to be written as it is, or too many machines share it. A version that does not know
+    /// of lower limits to come may have filled it.
+    pub(crate) fn note_size(&mut self, id: BlockId) {
+        let held = self.view.grants.get(&id).is_some_and(|g| self.holds(g));
+        let block = self.view.blocks.get(&id).filter(|_| held);
+        if block.is_some_and(|b| self.is_oversized(b)) {
+            self.oversized.insert(id);
+        } else {
+            self.oversized.remove(&id);
+        }
     }
 
     /// Whether a block is to be divided.
     ///
     /// Guards against machines that stand idle because the value which lists their tasks is full:
     /// half of a fleet did when values had to become much smaller.
-    pub(crate) fn is_oversized(&self, block: &Block) -> bool {
+    fn is_oversized(&self, block: &Block) -> bool {
         let most = self.settings.value_bytes();
         let machines = block.machines.iter();
         let known = machines.filter_map(|m| self.view.machines.get(m));
--- a/src/leader/chains.rs
+++ b/src/leader/chains.rs
@@ -25,8 +25,16 @@
         if self.format < crate::records::CURRENT_FORMAT {
             return None;
         }
+        // Nothing becomes ready without a change of the replica.
+        if self.lead.none_ready_at == Some(self.view.version) {
+            return None;
+        }
         let waiting = self.view.waiting.jobs.keys().copied();
         let mut ready: Vec<JobIx> = waiting.filter(|&job| self.view.is_ready(job)).collect();
+        if ready.is_empty() {
+            self.lead.none_ready_at = Some(self.view.version);
+            return None;
+        }
         ready.sort_by_key(|&job| (self.waiting_urgency(job), job));
         let most = self.settings.platform.settings.state.txn_ops / 2;
         let mut txn = Txn::default();
--- a/src/leader/finishing.rs
+++ b/src/leader/finishing.rs
@@ -13,20 +13,21 @@
         let told = self.told_done();
         let none = RangeSet::new();
         let done_of = |ix: JobIx| told.get(&ix).unwrap_or(&none);
-        let all_done = |ix: JobIx, job: &Job| match told.get(&ix) {
-            None => job.done.len() >= job.spec.legs,
-            Some(told) => {
+        let done_with_told = |ix: JobIx, told: &RangeSet| {
+            let job = self.view.jobs.get(&ix);
+            let pending = job.filter(|j| j.status == JobStatus::Pending);
+            pending.is_some_and(|job| {
                 let mut done = job.done.clone();
                 done.union(told);
                 done.len() >= job.spec.legs
-            }
+            })
         };
-        let pending = self.view.jobs.iter();
-        let pending = pending.filter(|(_, j)| j.status == JobStatus::Pending);
-        let over = pending.filter(|&(&ix, job)| all_done(ix, job));
-        let mut over: Vec<JobIx> = over.map(|(&ix, _)| ix).collect();
+        let by_word = told.iter().filter(|&(&ix, told)| done_with_told(ix, told));
+        let mut over: Vec<JobIx> = by_word.map(|(&ix, _)| ix).collect();
+        over.extend(self.view.complete());
         // What others wait for goes first.
         over.sort_by_key(|&ix| (!self.view.dependencies.is_needed(ix), ix));
+        over.dedup();
         for ix in over.into_iter().take(most) {
             let Some(change) = self.job_change(ix, done_of(ix)) else {
                 continue;
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -66,6 +66,8 @@
     refused: HashMap<(FrameIx, ZoneIx, bool), Ms>,
     renting: HashMap<String, (Rental, Ms)>,
     returning: bool,
+    /// The change of the replica after which no waiting job was ready.
+    none_ready_at: Option<u64>,
     /// Machines whose return was answered.
     gone: BTreeSet<MachineIx>,
     removed: HashMap<String, Ms>,
--- a/src/view.rs
+++ b/src/view.rs
@@ -212,6 +212,8 @@
     pub touched: Touched,
     /// How often queues list each task; once, but for moments between two changes.
     bound: HashMap<JobIx, BTreeMap<u32, u8>>,
+    /// Pending jobs all of whose tasks are done.
+    complete: BTreeSet<JobIx>,
     noted: HashMap<JobIx, Noted>,
 }
 
@@ -407,6 +409,7 @@
             job.status = r.status;
             job.done.union(&r.done);
             job.stored = r.done;
+            self.note_progress(ix);
             return;
         }
         let mut done = r.done.clone();
@@ -439,6 +442,23 @@
         };
         self.left.retain(|&j| j != ix);
         self.jobs.insert(ix, job);
+        self.note_progress(ix);
+    }
+
+    /// Takes note of whether all that is left of a job is to record its end.
+    fn note_progress(&mut self, ix: JobIx) {
+        let job = self.jobs.get(&ix);
+        let pending = job.filter(|j| j.status == JobStatus::Pending);
+        if pending.is_some_and(|j| j.done.len() >= j.spec.legs) {
+            self.complete.insert(ix);
+        } else {
+            self.complete.remove(&ix);
+        }
+    }
+
+    /// Pending jobs all of whose tasks are done, as far as the shared keys show.
+    pub fn complete(&self) -> impl Iterator<Item = JobIx> + '_ {
+        self.complete.iter().copied()
     }
 
     fn remove(&mut self, key: &str) {
@@ -462,6 +482,7 @@
             && let Some(ix) = self.names.jobs.get(j)
             && self.jobs.remove(&ix).is_some()
         {
+            self.complete.remove(&ix);
             self.left.push(ix);
         } else if let Some(j) = key.strip_prefix(WAITING)
             && let Some(ix) = self.names.jobs.get(j)
--- a/src/view/blocks.rs
+++ b/src/view/blocks.rs
@@ -72,8 +72,9 @@
             let noted = self.noted.entry(*job).or_default();
             noted.blocks += 1;
             noted.done.union(tasks);
-            if let Some(job) = self.jobs.get_mut(job) {
-                job.done.union(tasks);
+            if let Some(known) = self.jobs.get_mut(job) {
+                known.done.union(tasks);
+                self.note_progress(*job);
             }
         }
         if let Some(before) = before {
