--- /dev/null
+++ b/tests/support/rules.rs
@@ -0,0 +1,109 @@
+//! The rules, judged from the machines, the state service and what users were told.
+
+use super::*;
+
+impl World {
+    /// Milliseconds that a cancellation has.
+    pub fn cancel_ms(&self) -> u64 {
+        (self.settings.platform.settings.workers.cancel_s * 1000.0) as u64
+    }
+
+    /// No task is on two machines, whoever can reach them.
+    pub(super) fn check_double_starts(&mut self) {
+        let present = self.workers.iter().flat_map(|w| {
+            let on = w.tasks.iter().filter(|t| t.is_on_machine());
+            on.map(|t| (t.leg.as_str(), w.rig.name.as_str()))
+        });
+        if let Some(double) = occupancy::double_start(present) {
+            let [one, other] = double.machines;
+            let what = format!(
+                "ran_twice: {} on {one} and {other} at {}",
+                double.task, self.now
+            );
+            if self.broken.last() != Some(&what) {
+                self.broken.push(what);
+            }
+        }
+    }
+
+    /// A task of a job has just started on a machine, where its job must permit it.
+    pub(super) fn check_place(&mut self, at: usize, name: &str) {
+        let Some(spec) = self.job(name).map(|j| j.spec) else {
+            return;
+        };
+        let rig = &self.workers[at].rig;
+        let of_job = |t: &&Task| t.ended.is_none() && job_of(&t.leg) == name;
+        let in_zone = |here: bool| -> usize {
+            let zone = self
+                .workers
+                .iter()
+                .filter(|w| (w.rig.yard == rig.yard) == here);
+            zone.flat_map(|w| &w.tasks).filter(of_job).count()
+        };
+        let wrong = spec
+            .frames
+            .as_ref()
+            .is_some_and(|f| !f.contains(&rig.frame))
+            || spec.yard.as_ref().is_some_and(|y| *y != rig.yard)
+            || (rig.loaners && !spec.loaners)
+            || (spec.same_place && in_zone(false) > 0)
+            || (spec.spread && in_zone(true) > spec.legs.div_ceil(2) as usize);
+        if wrong {
+            let what = format!("wrong_place: {name} on {} in {}", rig.name, rig.yard);
+            self.broken.push(what);
+        }
+    }
+
+    /// What its user called off is gone from every machine in time, wherever that hangs.
+    pub(super) fn check_cancelled(&mut self) {
+        let cancel_ms = self.cancel_ms();
+        for w in &self.workers {
+            for t in w.tasks.iter().filter(|t| t.ended.is_none()) {
+                let job = job_of(&t.leg);
+                let cancelled = self.cancelled.get(job).copied();
+                if let Some(at) = cancelled.or_else(|| self.orphaned_since(job))
+                    && self.now > at + cancel_ms
+                {
+                    let late = self.now - at;
+                    let what = format!("ran_cancelled: {} on {} after {late}", t.leg, w.rig.name);
+                    self.broken.push(what);
+                }
+            }
+        }
+    }
+
+    /// A job that waited is bindable only once all that it named is finally done.
+    pub(super) fn check_ready(&mut self) {
+        for (job, named) in &self.awaits {
+            let bindable = self.state.value(&job_key(job)).is_some();
+            if let Some(early) = named.iter().find(|n| bindable && !self.is_done(n)) {
+                let what = format!("too_early: {job} may be bound, {early} is not done");
+                self.broken.push(what);
+            }
+        }
+    }
+
+    pub(super) fn check(&mut self) {
+        self.check_double_starts();
+        self.check_cancelled();
+        self.check_ready();
+        let mut used: HashMap<String, f64> = HashMap::new();
+        for w in &self.workers {
+            for t in w.tasks.iter().filter(|t| t.is_on_machine()) {
+                let spec = &self.specs[job_of(&t.leg)];
+                *used.entry(spec.crew.clone()).or_default() += spec.vcpus;
+            }
+        }
+        for t in &self.settings.platform.settings.teams {
+            let now = used.get(&t.name).copied().unwrap_or(0.0);
+            if now > t.cpus_max + 1e-6 {
+                self.broken.push(format!("quota: {} uses {now}", t.name));
+            }
+        }
+    }
+
+    /// The story's rules held and every start was counted once per attempt.
+    pub fn assert_kept(&self) {
+        assert!(self.broken.is_empty(), "{:?}", self.broken);
+    }
+}
--- /dev/null
+++ b/tests/support/users.rs
@@ -0,0 +1,251 @@
+//! What users do, and what they are told.
+
+use super::*;
+
+impl World {
+    /// Plays on while more urgent work comes, eight tasks a second, than a team may run.
+    pub fn flood(&mut self, seconds: u32) {
+        for _ in 0..seconds {
+            self.flood += 1;
+            let mut urgent = self.spec(8);
+            urgent.urgency = Urgency::Urgent;
+            self.submit(self.flood, urgent);
+            self.run(1000);
+        }
+    }
+
+    /// Plays on while a user asks any controller for a job every second.
+    pub fn run_asking(&mut self, ms: u64, jobs: &[String]) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.run(500);
+            for i in 0..self.nodes.len() {
+                for job in jobs {
+                    self.ask(i, job);
+                }
+            }
+        }
+    }
+
+    /// Submits a job and plays until all of its tasks run, each for `run_ms`.
+    pub fn fill(&mut self, run_ms: u64, tasks: u32) -> String {
+        self.run_ms = run_ms;
+        let job = self.submit(1, self.spec(tasks));
+        self.until(15_000, "all run", |w| w.running() == tasks as usize);
+        job
+    }
+
+    pub fn spec(&self, legs: u32) -> JobSpec {
+        JobSpec {
+            route: "nightly".into(),
+            crew: "blue".into(),
+            shape: Shape::Batch,
+            urgency: Urgency::Normal,
+            legs,
+            vcpus: 1.0,
+            gpus: 0.0,
+            ram_gb: 1.0,
+            kit: "img".into(),
+            size_gb: 0.1,
+            frames: None,
+            yard: None,
+            same_place: false,
+            spread: false,
+            loaners: true,
+            ride_s: 8.0,
+            waypoint_s: 0.0,
+            stow_s: 0.0,
+            due_s: None,
+        }
+    }
+
+    pub fn submit(&mut self, n: u32, spec: JobSpec) -> String {
+        let name = format!("wk-{n:06}");
+        self.specs.insert(name.clone(), spec.clone());
+        let txn = jobs::accept(&name, &jobs::new_record(spec, self.now));
+        assert!(
+            matches!(self.state.commit(&txn), Outcome::Done(_)),
+            "accepted"
+        );
+        name
+    }
+
+    /// A user submits a job that names others through a controller, as the door does; none if that
+    /// is not taken now.
+    pub fn submit_after(
+        &mut self,
+        i: usize,
+        n: u32,
+        spec: JobSpec,
+        awaits: &[String],
+    ) -> Option<String> {
+        let name = format!("wk-{n:06}");
+        let clock = self.clock(i);
+        let core = &self.nodes[i].as_ref()?.core;
+        if core.view.ledger < self.state.ledger() || self.link(i).state == Mood::Refuses {
+            return None;
+        }
+        let named = awaits.iter().map(|a| {
+            let shown = core.view.predecessor(a);
+            let archived = || match self.job(a).map(|j| j.status) {
+                Some(JobStatus::Done) => Predecessor::Done,
+                Some(JobStatus::Withdrawn) => Predecessor::Withdrawn,
+                _ => Predecessor::Unwatched,
+            };
+            let known = match shown {
+                Predecessor::Unwatched => archived(),
+                shown => shown,
+            };
+            (a.clone(), known)
+        });
+        let kept = spec.clone();
+        let record = jobs::new_record(spec, self.now);
+        let accepted = plan_acceptance(&name, record, named.collect(), &core.settings).ok()?;
+        if matches!(accepted, Acceptance::Waiting(_)) && !core.accepts_waiting(clock) {
+            return None;
+        }
+        let txn = accepted.txn().clone();
+        let Outcome::Done(ledger) = self.state.commit(&txn) else {
+            return None;
+        };
+        if let Some(node) = &mut self.nodes[i] {
+            node.core.view.apply_own(&txn, ledger);
+        }
+        self.specs.insert(name.clone(), kept);
+        self.awaits.insert(name.clone(), awaits.to_vec());
+        Some(name)
+    }
+
+    /// Submits a job that names others through any controller that takes it.
+    pub fn chain(&mut self, n: u32, spec: JobSpec, awaits: &[&String]) -> String {
+        let awaits: Vec<String> = awaits.iter().map(|a| (*a).clone()).collect();
+        let end = self.now + 20_000;
+        while self.now < end {
+            for i in 0..self.nodes.len() {
+                if let Some(name) = self.submit_after(i, n, spec.clone(), &awaits) {
+                    return name;
+                }
+            }
+            self.step();
+        }
+        panic!("never accepted: {n} after {awaits:?}");
+    }
+
+    /// Whether a job that this one needs, directly or through others, was cancelled; since when.
+    pub(super) fn orphaned_since(&self, name: &str) -> Option<u64> {
+        let named = self.awaits.get(name)?;
+        let since = named.iter().filter_map(|a| {
+            let own = self.cancelled.get(a).copied();
+            own.or_else(|| self.orphaned_since(a))
+        });
+        since.min()
+    }
+
+    /// The value of a job that waits for others.
+    pub fn waiting(&self, name: &str) -> Option<WaitingRecord> {
+        serde_json::from_value(self.state.value(&waiting_key(name))?).ok()
+    }
+
+    pub fn cancel(&mut self, name: &str) -> Outcome {
+        self.call_off(name).1
+    }
+
+    pub(super) fn call_off(&mut self, name: &str) -> (Txn, Outcome) {
+        let txn = match self.waiting(name) {
+            Some(record) => {
+                let stamp = self.state.stamp(&waiting_key(name));
+                chained::cancel_waiting(name, &record, stamp)
+            }
+            None => {
+                let record = self.job(name).expect("known");
+                let stamp = self.state.stamp(&job_key(name));
+                jobs::cancel(name, &record, stamp, self.settings.value_bytes())
+            }
+        };
+        let outcome = self.state.commit(&txn);
+        if let Outcome::Done(_) = outcome {
+            self.cancelled.insert(name.into(), self.now);
+            self.tell(name, JobStatus::Withdrawn);
+        }
+        (txn, outcome)
+    }
+
+    /// A user cancels through a controller that is to know at once, as the one that is asked does.
+    pub fn cancel_through(&mut self, i: usize, name: &str) -> Outcome {
+        let (txn, outcome) = self.call_off(name);
+        if let (Outcome::Done(ledger), Some(n)) = (outcome, &mut self.nodes[i]) {
+            n.core.view.apply_own(&txn, ledger);
+        }
+        outcome
+    }
+
+    /// A user asks a controller, which answers from its replica once that has reached the state
+    /// service's revision, as the door does; none if it has not yet.
+    pub fn ask(&mut self, i: usize, name: &str) -> Option<JobStatus> {
+        let view = &self.nodes[i].as_ref()?.core.view;
+        if view.ledger < self.state.ledger() {
+            return None;
+        }
+        let known = view.names.jobs.get(name).and_then(|ix| view.status_of(ix));
+        let status = match known {
+            Some(status) => status,
+            None => self.job(name)?.status,
+        };
+        if let Some(at) = self
+            .orphaned_since(name)
+            .filter(|_| status != JobStatus::Withdrawn)
+        {
+            let what = format!("orphaned: {name} is {status:?}, cancelled at {at}");
+            self.broken.push(what);
+        }
+        self.tell(name, status);
+        Some(status)
+    }
+
+    pub(super) fn tell(&mut self, name: &str, status: JobStatus) {
+        if let Some(before) = self.told.get(name).filter(|b| **b != status) {
+            self.broken
+                .push(format!("went_back: {name} {before:?}, then {status:?}"));
+        }
+        if status == JobStatus::Done && self.done(name) < self.job(name).map_or(0, |j| j.spec.legs)
+        {
+            self.broken.push(format!("not_done: {name}"));
+        }
+        if status != JobStatus::Pending {
+            self.told.insert(name.into(), status);
+        }
+    }
+
+    pub fn job(&self, name: &str) -> Option<JobRecord> {
+        let v = self
+            .state
+            .value(&job_key(name))
+            .or(self.state.value(&past_key(name)))?;
+        serde_json::from_value(v).ok()
+    }
+
+    /// Tasks done, as the job's key and all blocks together show them.
+    pub fn done(&self, name: &str) -> u32 {
+        let mut done = self.job(name).map(|j| j.done).unwrap_or_default();
+        for item in self.state.list("qb/block/").0 {
+            let block: BlockRecord = item.v.read().expect("a block");
+            for (job, tasks) in &block.done {
+                if block.jobs[*job] == name {
+                    done.union(tasks);
+                }
+            }
+        }
+        done.len()
+    }
+
+    /// Whether a job is not over; the door cancels no other.
+    pub fn is_open(&self, name: &str) -> bool {
+        let pending = |status| status == JobStatus::Pending;
+        self.waiting(name).is_some_and(|w| pending(w.status))
+            || self.job(name).is_some_and(|j| pending(j.status))
+    }
+
+    pub fn is_done(&self, name: &str) -> bool {
+        self.job(name).is_some_and(|j| j.status == JobStatus::Done)
+    }
+}
