--- a/tests/support/rules.rs
+++ b/tests/support/rules.rs
@@ -10,10 +10,20 @@
 
     /// No task is on two machines, whoever can reach them.
     pub(super) fn check_double_starts(&mut self) {
+        self.check_double_starts_among(|_| true);
+    }
+
+    /// The same for one task, at the moment at which it starts.
+    pub(super) fn check_double_start_of(&mut self, leg: &str) {
+        self.check_double_starts_among(|other| other == leg);
+    }
+
+    fn check_double_starts_among(&mut self, concerns: impl Fn(&str) -> bool) {
         let present = self.workers.iter().flat_map(|w| {
             let on = w.tasks.iter().filter(|t| t.is_on_machine());
             on.map(|t| (t.leg.as_str(), w.rig.name.as_str()))
         });
+        let present = present.filter(|(leg, _)| concerns(leg));
         if let Some(double) = occupancy::double_start(present) {
             let [one, other] = double.machines;
             let what = format!(
