--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -179,6 +179,32 @@
     }
 }
 
+#[test]
+fn copies_of_reports_from_a_machine_that_is_gone_do_not_keep_its_tasks_for_ever() {
+    // A new holder that has never seen its token answers such reports for a while, for they may be
+    // life; then it stops, so that whatever ran there is surely over.
+    let (mut w, job) = busy(31, 3, 20_000);
+    w.cloud_up = false;
+    let at = with_tasks(&w)[0];
+    let gone = w.workers.remove(at);
+    let copy = gone.report();
+    let holder = w.holder(&gone.rig.name).expect("held");
+    w.crash(holder);
+    w.run(500);
+    w.start(holder);
+    let end = w.now + 120_000;
+    while !w.is_done(&job) {
+        assert!(w.now < end, "its tasks still wait for it");
+        w.run(2000);
+        for i in 0..3 {
+            let clock = w.clock(i);
+            let core = &mut w.nodes[i].as_mut().expect("alive").core;
+            core.on_report(copy.clone(), clock);
+        }
+    }
+    w.assert_kept();
+}
+
 #[test]
 fn a_stranded_controller_stops_in_time_and_hands_over_what_runs() {
     for (nodes, leads) in [(3, false), (3, true), (5, false), (5, true)] {
