--- a/tests/double_starts.rs
+++ b/tests/double_starts.rs
@@ -298,3 +298,22 @@
     w.run(4000);
     assert_eq!(block_of(&w, &rig).1.machines[&rig].queue, before);
 }
+
+#[test]
+fn a_holder_that_was_replaced_unseen_frees_nothing_of_what_it_takes_for_lost() {
+    // It reaches no worker and its watch hangs, but its writes arrive: its machines have another holder
+    // and run on.
+    for seed in 0..4 {
+        let (mut w, job) = World::busy(seed, 3, 40_000);
+        let leader = w.leader().expect("leads");
+        let i = (leader + 1) % 3;
+        w.links[i].watch_hangs = true;
+        w.links[i].workers = false;
+        w.run(18_000);
+        w.links[i].watch_hangs = false;
+        w.links[i].workers = true;
+        w.until(60_000, "done", |w| w.is_done(&job));
+        w.assert_kept();
+        assert_eq!(w.starts_of(&job), 12, "running work was lost");
+    }
+}
