--- a/tests/double_starts.rs
+++ b/tests/double_starts.rs
@@ -48,16 +48,10 @@
     }
 }
 
-/// A block's value as the state service has it.
-fn block(w: &World, key: &str) -> BlockRecord {
-    let value = w.state.value(key).expect("a block");
-    serde_json::from_value(value).expect("a block's value")
-}
-
 /// The block that lists a machine.
 fn block_of(w: &World, rig: &str) -> (String, BlockRecord) {
     let (items, _) = w.state.list("qb/block/");
-    let mut blocks = items.into_iter().map(|i| (i.k.clone(), block(w, &i.k)));
+    let mut blocks = items.into_iter().map(|i| (i.k.clone(), w.block(&i.k)));
     blocks
         .find(|(_, b)| b.machines.contains_key(rig))
         .expect("listed")
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -334,11 +334,7 @@
     w.run_ms = 60_000;
     w.submit(1, w.spec(8));
     let rig = w.workers[0].rig.name.clone();
-    let queue = |w: &World| {
-        let value = w.state.value("qb/block/0000").expect("a block");
-        let block: BlockRecord = serde_json::from_value(value).expect("a block's value");
-        block.machines[&rig].queue.clone()
-    };
+    let queue = |w: &World| w.block("qb/block/0000").machines[&rig].queue.clone();
     w.until(20_000, "the machine is full", |w| w.running() == 4);
     w.run(3000);
     let holder = w.holder(&rig).expect("held");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -316,8 +316,11 @@
 
     /// Copies of reports that were kept for the next leader arrive there and at all others.
     fn release_kept_copies(&mut self) {
+        if !self.copies_for_next {
+            return;
+        }
         let leader = self.leader();
-        if !self.copies_for_next || leader.is_none() || leader == self.last_leader {
+        if leader.is_none() || leader == self.last_leader {
             return;
         }
         self.last_leader = leader;
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -238,6 +238,12 @@
         done.len()
     }
 
+    /// A block's value as the state service has it.
+    pub fn block(&self, key: &str) -> BlockRecord {
+        let value = self.state.value(key).expect("a block");
+        serde_json::from_value(value).expect("a block's value")
+    }
+
     /// Whether a job is not over; the door cancels no other.
     pub fn is_open(&self, name: &str) -> bool {
         let pending = |status| status == JobStatus::Pending;
