--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -1,167 +1,21 @@
 //! The real program on loopback, against stand-ins for the state service and the cloud and one
 //! worker: it starts, takes a job, runs it and says so.
 
+mod processes;
 mod support;
 
-use actix_web::{App, HttpResponse, HttpServer, web};
-use quillbend::core::Outcome;
-use quillbend::wire::{Cause, Leg, LegStatus, Order, Orders, Report, Rigs, Txn};
+use processes::*;
 use serde_json::{Value, json};
-use std::collections::HashMap;
-use std::io::Read;
-use std::net::TcpListener;
-use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-type Store = web::Data<Mutex<support::State>>;
-
-fn ms() -> u64 {
-    static START: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
-    START.get_or_init(Instant::now).elapsed().as_millis() as u64
-}
-
-async fn keys(s: Store, q: web::Query<HashMap<String, String>>) -> HttpResponse {
-    let starts = q.get("starts").cloned().unwrap_or_default();
-    let (items, ledger) = s.lock().expect("lock").list(&starts);
-    HttpResponse::Ok().json(json!({ "items": items, "hasNext": false, "ledger": ledger }))
-}
-
-async fn key(s: Store, k: web::Path<String>) -> HttpResponse {
-    let s = s.lock().expect("lock");
-    match s.value(&k) {
-        Some(v) => HttpResponse::Ok().json(json!({ "k": *k, "v": v, "stamp": s.stamp(&k) })),
-        None => HttpResponse::NotFound().json(json!({ "ledger": 0 })),
-    }
-}
-
-async fn commit(s: Store, txn: web::Json<Txn>) -> HttpResponse {
-    match s.lock().expect("lock").commit(&txn) {
-        Outcome::Done(ledger) => HttpResponse::Ok().json(json!({ "ledger": ledger })),
-        Outcome::Conflict(ledger) => HttpResponse::Conflict().json(json!({ "ledger": ledger })),
-        _ => HttpResponse::BadRequest().json(json!({ "error": "no such lease" })),
-    }
-}
-
-async fn lease(s: Store, body: web::Json<Value>) -> HttpResponse {
-    let life = body["lifeMs"].as_u64().unwrap_or(1000);
-    let permit = s.lock().expect("lock").lease(life, ms());
-    HttpResponse::Ok().json(json!({ "permit": permit }))
-}
-
-async fn extend(s: Store, permit: web::Path<u64>) -> HttpResponse {
-    match s.lock().expect("lock").renew(*permit, ms()) {
-        true => HttpResponse::Ok().json(json!({})),
-        false => HttpResponse::NotFound().finish(),
-    }
-}
-
-async fn watch(s: Store, q: web::Query<HashMap<String, String>>) -> HttpResponse {
-    let number = |k: &str| q.get(k).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
-    let until = ms() + number("waitMs");
-    loop {
-        let list = {
-            let mut s = s.lock().expect("lock");
-            s.pass(ms());
-            s.news(q.get("starts").map_or("", String::as_str), number("after"))
-        };
-        if !list.news.is_empty() || ms() >= until {
-            return HttpResponse::Ok().json(list);
-        }
-        actix_web::rt::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
-async fn catalog() -> HttpResponse {
-    HttpResponse::Ok().json(support::catalog())
-}
-
-async fn machines() -> HttpResponse {
-    HttpResponse::Ok().json(json!({ "rigs": [{ "ref": "m-000001", "frame": "small",
-        "yard": "north", "loaners": false, "status": "running", "heldS": 1.0 }], "hasNext": false }))
-}
-
-async fn rent() -> HttpResponse {
-    HttpResponse::ServiceUnavailable().json(json!({ "error": "no capacity" }))
-}
-
-async fn give_back(_: web::Json<Rigs>) -> HttpResponse {
-    HttpResponse::Ok().json(json!({}))
-}
-
-/// The program; it ends with the test.
-struct Program(Child);
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn free_port() -> u16 {
-    let l = TcpListener::bind("127.0.0.1:0").expect("a port");
-    l.local_addr().expect("bound").port()
-}
-
-async fn call(method: &str, url: &str, body: Option<Value>) -> Option<(u16, Value)> {
-    let http = awc::Client::default();
-    let request = match method {
-        "POST" => http.post(url),
-        _ => http.get(url),
-    };
-    let request = request.timeout(Duration::from_secs(3));
-    let answer = match body {
-        Some(body) => request.send_json(&body).await,
-        None => request.send().await,
-    };
-    let mut answer = answer.ok()?;
-    let status = answer.status().as_u16();
-    Some((status, answer.json().await.unwrap_or(Value::Null)))
-}
-
 /// The same, with an address of its own.
 async fn call_owned(method: &str, url: String, body: Option<Value>) -> Option<(u16, Value)> {
     call(method, &url, body).await
 }
 
-/// One report of a worker that finishes whatever it is told to start.
-async fn report(base: &str, tally: u64, baton: &mut u64, legs: &mut Vec<Leg>) {
-    let report = Report {
-        rig: "m-000001".into(),
-        endpoint: "127.0.0.1:1".into(),
-        frame: "small".into(),
-        yard: "north".into(),
-        loaners: false,
-        shift: 1,
-        tally,
-        baton: *baton,
-        recall_s: None,
-        legs: legs.clone(),
-    };
-    let body = serde_json::to_value(&report).expect("json");
-    let Some((200, v)) = call("POST", &format!("{base}/v1/report"), Some(body)).await else {
-        return;
-    };
-    let Ok(orders) = serde_json::from_value::<Orders>(v) else {
-        return;
-    };
-    *baton = orders.baton;
-    for order in orders.orders {
-        match order {
-            Order::Launch { leg, attempt } => legs.push(Leg {
-                leg,
-                attempt,
-                status: LegStatus::Ended,
-                cause: Some(Cause::Done),
-                saved: None,
-            }),
-            Order::Clear { leg, .. } => legs.retain(|l| l.leg != leg),
-            Order::Stop { .. } => {}
-        }
-    }
-}
-
 /// What users must be told of submissions that are malformed or can never run, and of a job that
 /// is done: `known` is one.
 async fn odd_requests(base: &str, known: &Value) {
@@ -328,56 +182,25 @@
 
 #[test]
 fn the_program_starts_and_does_a_job() {
-    let store = Arc::new(Mutex::new(support::State::default()));
     actix_web::rt::System::new().block_on(async move {
-        let store = web::Data::from(store);
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let outside = listener.local_addr().expect("bound");
-        let server = HttpServer::new(move || {
-            App::new()
-                .app_data(store.clone())
-                .route("/keys", web::get().to(keys))
-                .route("/keys/{key:.*}", web::get().to(key))
-                .route("/commit", web::post().to(commit))
-                .route("/leases", web::post().to(lease))
-                .route("/leases/{permit}/extend", web::post().to(extend))
-                .route("/watch", web::get().to(watch))
-                .route("/catalog", web::get().to(catalog))
-                .route("/machines", web::get().to(machines))
-                .route("/machines", web::post().to(rent))
-                .route("/machines/return", web::post().to(give_back))
-        })
-        .workers(1)
-        .listen(listener)
-        .expect("listens")
-        .run();
-        let stop = server.handle();
-        actix_web::rt::spawn(server);
-
-        let (public, back) = (free_port(), free_port());
-        let text = support::PLATFORM
-            .replace("127.0.0.1:18080", &format!("127.0.0.1:{public}"))
-            .replace("127.0.0.1:18081", &format!("127.0.0.1:{back}"))
-            .replace("127.0.0.1:18090", &outside.to_string())
-            .replace("127.0.0.1:18091", &outside.to_string());
-        let file = std::env::temp_dir().join(format!("quillbend-{public}.toml"));
-        std::fs::write(&file, text).expect("written");
-        let child = Command::new(env!("CARGO_BIN_EXE_quillbend"))
-            .arg("--config")
-            .arg(&file)
-            .env("LOG_LEVEL", "info")
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("starts");
-        let mut program = Program(child);
-
-        let base = format!("http://127.0.0.1:{public}");
+        let machine = running_machine("m-000001");
+        let outside = OutsideServices::start(vec![machine.clone()]);
+        let places = places(3);
+        let mut program = Program::start(
+            Path::new(env!("CARGO_BIN_EXE_quillbend")),
+            0,
+            &places,
+            outside.address,
+            Stdio::piped(),
+        );
+        let base = format!("http://{}", places[0].public);
         let spec: Value = json!({ "ref": "wk-000007", "route": "nightly", "crew": "blue",
             "shape": "batch", "urgency": "normal", "legs": 6, "vcpus": 1.0, "gpus": 0.0,
             "ramGb": 1.0, "kit": "img", "sizeGb": 0.1, "samePlace": false, "spread": false,
             "loaners": true, "rideS": 1.0, "waypointS": 0.0, "stowS": 0.0 });
-        let (mut accepted, mut done, mut tally) = (false, false, 0);
-        let (mut baton, mut legs) = (0, Vec::new());
+        let (mut accepted, mut done) = (false, false);
+        let mut worker = LoopbackWorker::new(machine, 0);
+        let log = Mutex::new(WorkLog::default());
         let began = Instant::now();
         while !done && began.elapsed() < Duration::from_secs(60) {
             let ready = call("GET", &format!("{base}/ready"), None).await;
@@ -393,8 +216,7 @@
                 assert_eq!(none.map(|n| n.0), Some(404));
             }
             if accepted {
-                tally += 1;
-                report(&base, tally, &mut baton, &mut legs).await;
+                worker.report(&places[..1], &log).await;
                 let url = format!("{base}/api/jobs/wk-000007");
                 if let Some((200, v)) = call("GET", &url, None).await {
                     done = v["status"] == "done" && v["done"] == 6;
@@ -406,19 +228,15 @@
             odd_requests(&base, &spec).await;
             chained_requests(&base, &spec).await;
         }
-        let status = call("GET", &format!("http://127.0.0.1:{back}/status"), None).await;
-        let _ = std::fs::remove_file(&file);
-        let _ = program.0.kill();
-        let mut log = String::new();
-        if let Some(mut err) = program.0.stderr.take() {
-            let _ = err.read_to_string(&mut log);
-        }
+        let url = format!("http://{}/status", places[0].back);
+        let status = call("GET", &url, None).await;
+        let log = program.end();
         assert!(done, "the job was never done; log:\n{log}");
         assert_eq!(
             status.map(|s| s.1["counters"]["done"].clone()),
             Some(json!(6))
         );
-        stop.stop(false).await;
+        outside.stop().await;
     });
 }
 
--- /dev/null
+++ b/tests/processes/mod.rs
@@ -0,0 +1,477 @@
+//! The program as child processes on loopback, with stand-ins of the state service, the cloud and the
+//! workers that it meets there over HTTP.
+
+#![allow(dead_code)]
+
+use crate::support::occupancy::double_start;
+use crate::support::{PLATFORM, State, catalog};
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpResponse, HttpServer, web};
+use quillbend::core::Outcome;
+use quillbend::wire::{Cause, Leg, LegStatus, ListedRig, Order, Orders, Report, Rigs, Txn};
+use serde_json::{Value, json};
+use std::collections::{HashMap, HashSet};
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+type Store = web::Data<Mutex<State>>;
+type Machines = web::Data<Vec<ListedRig>>;
+
+/// Workers' lease in the settings, ms.
+const LEASE_MS: u64 = 12_000;
+/// Longest wait of a worker for an answer.
+const ANSWER_WAIT: Duration = Duration::from_secs(4);
+
+/// Time since the first call, ms.
+pub fn elapsed_ms() -> u64 {
+    static START: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    START.get_or_init(Instant::now).elapsed().as_millis() as u64
+}
+
+async fn keys(s: Store, q: web::Query<HashMap<String, String>>) -> HttpResponse {
+    let starts = q.get("starts").cloned().unwrap_or_default();
+    let (items, ledger) = s.lock().expect("lock").list(&starts);
+    HttpResponse::Ok().json(json!({ "items": items, "hasNext": false, "ledger": ledger }))
+}
+
+async fn key(s: Store, k: web::Path<String>) -> HttpResponse {
+    let s = s.lock().expect("lock");
+    match s.value(&k) {
+        Some(v) => HttpResponse::Ok().json(json!({ "k": *k, "v": v, "stamp": s.stamp(&k) })),
+        None => HttpResponse::NotFound().json(json!({ "ledger": 0 })),
+    }
+}
+
+async fn commit(s: Store, txn: web::Json<Txn>) -> HttpResponse {
+    match s.lock().expect("lock").commit(&txn) {
+        Outcome::Done(ledger) => HttpResponse::Ok().json(json!({ "ledger": ledger })),
+        Outcome::Conflict(ledger) => HttpResponse::Conflict().json(json!({ "ledger": ledger })),
+        Outcome::NoLease => HttpResponse::BadRequest().json(json!({ "error": "no such lease" })),
+        _ => HttpResponse::BadRequest().json(json!({ "error": "malformed" })),
+    }
+}
+
+async fn lease(s: Store, body: web::Json<Value>) -> HttpResponse {
+    let life = body["lifeMs"].as_u64().unwrap_or(1000);
+    let permit = s.lock().expect("lock").lease(life, elapsed_ms());
+    HttpResponse::Ok().json(json!({ "permit": permit }))
+}
+
+async fn extend(s: Store, permit: web::Path<u64>) -> HttpResponse {
+    match s.lock().expect("lock").renew(*permit, elapsed_ms()) {
+        true => HttpResponse::Ok().json(json!({})),
+        false => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn watch(s: Store, q: web::Query<HashMap<String, String>>) -> HttpResponse {
+    let number = |k: &str| q.get(k).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+    let until = elapsed_ms() + number("waitMs");
+    loop {
+        let list = {
+            let mut s = s.lock().expect("lock");
+            s.pass(elapsed_ms());
+            s.news(q.get("starts").map_or("", String::as_str), number("after"))
+        };
+        if !list.news.is_empty() || elapsed_ms() >= until {
+            return HttpResponse::Ok().json(list);
+        }
+        actix_web::rt::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+async fn machine_types() -> HttpResponse {
+    HttpResponse::Ok().json(catalog())
+}
+
+async fn list_machines(machines: Machines) -> HttpResponse {
+    HttpResponse::Ok().json(json!({ "rigs": **machines, "hasNext": false }))
+}
+
+async fn rent() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().json(json!({ "error": "no capacity" }))
+}
+
+async fn give_back(_: web::Json<Rigs>) -> HttpResponse {
+    HttpResponse::Ok().json(json!({}))
+}
+
+/// A machine that runs already, as the cloud lists it.
+pub fn running_machine(name: &str) -> ListedRig {
+    ListedRig {
+        name: name.into(),
+        endpoint: "127.0.0.1:1".into(),
+        frame: "small".into(),
+        yard: "north".into(),
+        loaners: false,
+        status: "running".into(),
+        held_s: 1.0,
+    }
+}
+
+/// The state service and the cloud, at one address.
+pub struct OutsideServices {
+    pub address: SocketAddr,
+    pub state: Arc<Mutex<State>>,
+    server: ServerHandle,
+}
+
+impl OutsideServices {
+    /// Serves an empty store and these machines.
+    pub fn start(machines: Vec<ListedRig>) -> Self {
+        let state = Arc::new(Mutex::new(State::default()));
+        let (store, machines) = (web::Data::from(state.clone()), web::Data::new(machines));
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(store.clone())
+                .app_data(machines.clone())
+                .route("/keys", web::get().to(keys))
+                .route("/keys/{key:.*}", web::get().to(key))
+                .route("/commit", web::post().to(commit))
+                .route("/leases", web::post().to(lease))
+                .route("/leases/{permit}/extend", web::post().to(extend))
+                .route("/watch", web::get().to(watch))
+                .route("/catalog", web::get().to(machine_types))
+                .route("/machines", web::get().to(list_machines))
+                .route("/machines", web::post().to(rent))
+                .route("/machines/return", web::post().to(give_back))
+        })
+        .workers(1)
+        .listen(listener)
+        .expect("listens")
+        .run();
+        let handle = server.handle();
+        actix_web::rt::spawn(server);
+        Self {
+            address,
+            state,
+            server: handle,
+        }
+    }
+
+    pub async fn stop(self) {
+        self.server.stop(false).await;
+    }
+}
+
+fn free_port() -> u16 {
+    let l = TcpListener::bind("127.0.0.1:0").expect("a port");
+    l.local_addr().expect("bound").port()
+}
+
+/// Where a controller listens.
+#[derive(Clone)]
+pub struct Place {
+    pub host: String,
+    zone: &'static str,
+    /// Base of its public address.
+    pub public: String,
+    /// Base of the address for other controllers and operators.
+    pub back: String,
+}
+
+/// Places for so many controllers, `n0` on.
+pub fn places(count: usize) -> Vec<Place> {
+    let place = |i| Place {
+        host: format!("n{i}"),
+        zone: ["north", "south"][i % 2],
+        public: format!("127.0.0.1:{}", free_port()),
+        back: format!("127.0.0.1:{}", free_port()),
+    };
+    (0..count).map(place).collect()
+}
+
+/// The settings file of one of several controllers.
+fn settings_of(i: usize, places: &[Place], outside: SocketAddr) -> String {
+    let me = &places[i];
+    let mut text = format!(
+        "host_name = \"{}\"\nzone = \"{}\"\npublic_addr = \"{}\"\nback = \"{}\"\n",
+        me.host, me.zone, me.public, me.back
+    );
+    for other in places.iter().filter(|p| p.host != me.host) {
+        text += &format!(
+            "[[known]]\nhost_name = \"{}\"\nzone = \"{}\"\nendpoint = \"{}\"\n",
+            other.host, other.zone, other.back
+        );
+    }
+    text += &format!("[external]\ncloud = \"{outside}\"\nstate = \"{outside}\"\n");
+    let deployment = PLATFORM.find("[settings]").expect("the deployment");
+    text + &PLATFORM[deployment..]
+}
+
+/// The program; it ends with the test.
+pub struct Program {
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Program {
+    /// Starts a binary as controller `i`; its log goes to a pipe, or nowhere.
+    pub fn start(
+        binary: &Path,
+        i: usize,
+        places: &[Place],
+        outside: SocketAddr,
+        log: Stdio,
+    ) -> Self {
+        let name = format!("quillbend-{}.toml", places[i].public.replace(':', "-"));
+        let settings = std::env::temp_dir().join(name);
+        std::fs::write(&settings, settings_of(i, places, outside)).expect("written");
+        let child = Command::new(binary)
+            .arg("--config")
+            .arg(&settings)
+            .env("LOG_LEVEL", "info")
+            .stderr(log)
+            .spawn()
+            .expect("starts");
+        Self { child, settings }
+    }
+
+    /// Ends it, and returns its log if that went to a pipe.
+    pub fn end(&mut self) -> String {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let mut log = String::new();
+        if let Some(mut err) = self.child.stderr.take() {
+            let _ = err.read_to_string(&mut log);
+        }
+        log
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.end();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// Sends a request; none if there is no answer in time.
+pub async fn call(method: &str, url: &str, body: Option<Value>) -> Option<(u16, Value)> {
+    let http = awc::Client::default();
+    let request = match method {
+        "POST" => http.post(url),
+        _ => http.get(url),
+    };
+    let request = request.timeout(ANSWER_WAIT);
+    let answer = match body {
+        Some(body) => request.send_json(&body).await,
+        None => request.send().await,
+    };
+    let mut answer = answer.ok()?;
+    let status = answer.status().as_u16();
+    Some((status, answer.json().await.unwrap_or(Value::Null)))
+}
+
+/// What happened on all workers, for the judgement of a story.
+#[derive(Default)]
+pub struct WorkLog {
+    /// Each task that is on a machine now, with that machine.
+    present: Vec<(String, String)>,
+    /// Tasks that were completed.
+    pub done: HashSet<String>,
+    /// Starts of tasks, in their order.
+    pub starts: Vec<String>,
+    /// The jobs, by name, whose tasks must be done before a job's first starts; with their number
+    /// of tasks.
+    pub needs: HashMap<String, Vec<(String, u32)>>,
+    /// What broke a rule.
+    pub broken: Vec<String>,
+}
+
+impl WorkLog {
+    fn note_start(&mut self, task: &str, machine: &str) {
+        self.present.push((task.into(), machine.into()));
+        self.starts.push(task.into());
+        let present = self.present.iter().map(|(t, m)| (t.as_str(), m.as_str()));
+        if let Some(double) = double_start(present) {
+            self.broken.push(format!("ran_twice: {double:?}"));
+        }
+        let job = task.split('/').next().unwrap_or_default();
+        for (needed, tasks) in self.needs.get(job).cloned().unwrap_or_default() {
+            let done = (0..tasks).all(|n| self.done.contains(&format!("{needed}/{n}")));
+            if !done {
+                self.broken
+                    .push(format!("too_early: {task} before {needed}"));
+            }
+        }
+    }
+
+    fn note_end(&mut self, task: &str, machine: &str, done: bool) {
+        self.present.retain(|(t, m)| t != task || m != machine);
+        if done {
+            self.done.insert(task.into());
+        }
+    }
+
+    /// Whether a task of this job is on a machine.
+    pub fn is_present(&self, job: &str) -> bool {
+        let prefix = format!("{job}/");
+        self.present.iter().any(|(t, _)| t.starts_with(&prefix))
+    }
+}
+
+/// A task on a worker.
+struct RunningTask {
+    leg: Leg,
+    ends_ms: u64,
+}
+
+/// The worker of one machine. Tasks need no image, and run for as long as it is told.
+pub struct LoopbackWorker {
+    pub machine: ListedRig,
+    run_ms: u64,
+    at: usize,
+    shift: u64,
+    tally: u64,
+    baton: u64,
+    tasks: Vec<RunningTask>,
+    /// When the last answered report was sent.
+    answered_ms: u64,
+}
+
+impl LoopbackWorker {
+    pub fn new(machine: ListedRig, run_ms: u64) -> Self {
+        Self {
+            machine,
+            run_ms,
+            at: 0,
+            shift: 1,
+            tally: 0,
+            baton: 0,
+            tasks: Vec::new(),
+            answered_ms: elapsed_ms(),
+        }
+    }
+
+    /// Ends what is over, sends one report, and does as it is told.
+    pub async fn report(&mut self, places: &[Place], log: &Mutex<WorkLog>) {
+        let sent = elapsed_ms();
+        self.end_tasks(sent, log);
+        self.tally += 1;
+        let body = serde_json::to_value(self.message()).expect("json");
+        let url = format!("http://{}/v1/report", places[self.at].public);
+        match call("POST", &url, Some(body)).await {
+            Some((200, answer)) => self.obey(answer, sent, log),
+            Some((421, answer)) => {
+                let named = places.iter().position(|p| answer["dispatcher"] == p.host);
+                let named = named.filter(|&to| to != self.at);
+                self.at = named.unwrap_or((self.at + 1) % places.len());
+            }
+            _ => self.at = (self.at + 1) % places.len(),
+        }
+    }
+
+    fn message(&self) -> Report {
+        Report {
+            rig: self.machine.name.clone(),
+            endpoint: self.machine.endpoint.clone(),
+            frame: self.machine.frame.clone(),
+            yard: self.machine.yard.clone(),
+            loaners: self.machine.loaners,
+            shift: self.shift,
+            tally: self.tally,
+            baton: self.baton,
+            recall_s: None,
+            legs: self.tasks.iter().map(|t| t.leg.clone()).collect(),
+        }
+    }
+
+    /// Completes tasks whose time is over, and kills all once the lease is.
+    fn end_tasks(&mut self, now: u64, log: &Mutex<WorkLog>) {
+        let mut log = log.lock().expect("lock");
+        for task in &mut self.tasks {
+            if task.leg.status == LegStatus::Running && now >= task.ends_ms {
+                task.leg.status = LegStatus::Ended;
+                task.leg.cause = Some(Cause::Done);
+                log.note_end(&task.leg.leg, &self.machine.name, true);
+            }
+        }
+        if now > self.answered_ms + LEASE_MS {
+            for task in self.tasks.drain(..) {
+                log.note_end(&task.leg.leg, &self.machine.name, false);
+            }
+            self.shift += 1;
+            self.answered_ms = now;
+        }
+    }
+
+    fn obey(&mut self, answer: Value, sent: u64, log: &Mutex<WorkLog>) {
+        let Ok(orders) = serde_json::from_value::<Orders>(answer) else {
+            return;
+        };
+        if orders.baton < self.baton {
+            return;
+        }
+        self.baton = orders.baton;
+        self.answered_ms = sent;
+        let mut log = log.lock().expect("lock");
+        for order in orders.orders {
+            match order {
+                Order::Launch { leg, attempt } => self.launch(leg, attempt, &mut log),
+                Order::Stop { leg, attempt, .. } => self.stop(&leg, attempt, &mut log),
+                Order::Clear { leg, attempt } => {
+                    self.tasks.retain(|t| {
+                        t.leg.leg != leg
+                            || t.leg.attempt != attempt
+                            || t.leg.status != LegStatus::Ended
+                    });
+                }
+            }
+        }
+    }
+
+    fn launch(&mut self, leg: String, attempt: u64, log: &mut WorkLog) {
+        let known = self
+            .tasks
+            .iter()
+            .any(|t| t.leg.leg == leg && t.leg.attempt == attempt);
+        if known {
+            return;
+        }
+        let refused = self
+            .tasks
+            .iter()
+            .any(|t| t.leg.leg == leg && t.leg.status != LegStatus::Ended);
+        if !refused {
+            log.note_start(&leg, &self.machine.name);
+        }
+        // A result is kept: a task that was done once ends at once.
+        let left = if log.done.contains(&leg) {
+            0
+        } else {
+            self.run_ms
+        };
+        let (status, cause) = match refused {
+            true => (LegStatus::Ended, Some(Cause::InUse)),
+            false => (LegStatus::Running, None),
+        };
+        self.tasks.push(RunningTask {
+            leg: Leg {
+                leg,
+                attempt,
+                status,
+                cause,
+                saved: None,
+            },
+            ends_ms: elapsed_ms() + left,
+        });
+    }
+
+    fn stop(&mut self, leg: &str, attempt: u64, log: &mut WorkLog) {
+        for task in &mut self.tasks {
+            let meant = task.leg.leg == leg && task.leg.attempt == attempt;
+            if meant && task.leg.status != LegStatus::Ended {
+                task.leg.status = LegStatus::Ended;
+                task.leg.cause = Some(Cause::Halted);
+                log.note_end(leg, &self.machine.name, false);
+            }
+        }
+    }
+}
