--- a/src/api.rs
+++ b/src/api.rs
@@ -126,7 +126,7 @@
     let ix = view.names.jobs.get(name)?;
     if let Some(job) = view.jobs.get(&ix) {
         let open = || {
-            let record = job.record(job.stored.clone(), job.status);
+            let record = job.record(view.done_tasks(job.stored.clone()), job.status);
             Open::Ordinary(Box::new(record), job.stamp)
         };
         return Some(Found {
@@ -135,7 +135,7 @@
             open: (job.status == JobStatus::Pending).then(open),
         });
     }
-    let waiting = view.waiting.jobs.get(&ix)?;
+    let waiting = view.accepted_waiting(ix)?;
     let open = || Open::Waiting(waiting.record.clone(), waiting.stamp);
     Some(Found {
         status: waiting.status(),
@@ -156,7 +156,13 @@
     async fn look_up(&self, name: &str) -> Result<Option<Found>, StateError> {
         let fresh = &self.shared.fresh;
         fresh.catch_up(&self.state, self.pause, READ_WAIT).await?;
-        let known = found_in(&self.shared.core.lock().view, name);
+        let known = {
+            let core = self.shared.core.lock();
+            if core.view.is_unreadable(name) {
+                return Err(StateError::Odd(format!("the value of {name}")));
+            }
+            found_in(&core.view, name)
+        };
         if known.is_some() {
             return Ok(known);
         }
@@ -164,7 +170,7 @@
         let archived = self.state.archived(name, READ_WAIT).await?;
         Ok(archived.map(|record| Found {
             status: record.status,
-            done: record.done.len(),
+            done: record.done.tasks.len(),
             open: None,
         }))
     }
--- a/src/core/endings.rs
+++ b/src/core/endings.rs
@@ -91,6 +91,7 @@
                 self.submit(op, txn, payload, out);
             }
         }
+        self.tick_merge(now, out);
     }
 
     /// Tasks that were done on the machines held here and that are not recorded yet.
@@ -118,7 +119,7 @@
     }
 
     /// A block's content without the tasks that have ended there.
-    fn draft_without_ended(&self, id: BlockId) -> (Draft, Payload) {
+    pub(super) fn draft_without_ended(&self, id: BlockId) -> (Draft, Payload) {
         let mut payload = Payload {
             blocks: vec![id],
             ..Payload::default()
@@ -293,16 +294,21 @@
     }
 
     /// A write of a job's own key that shows every task known to be done, and `more`; none if its
-    /// value would be too large: then the blocks go on listing what is done.
+    /// present value cannot be read, or the new one would be too large: then the blocks go on listing
+    /// what is done.
     pub(crate) fn job_change(&self, ix: JobIx, more: &RangeSet) -> Option<Change> {
         let job = self.view.jobs.get(&ix)?;
+        // Its condition would fail for ever, and with it all that shares the transaction.
+        if self.view.is_unreadable(self.view.names.jobs.name(ix)) {
+            return None;
+        }
         let mut done = job.done.clone();
         done.union(more);
         let status = match job.status {
             JobStatus::Pending if done.len() >= job.spec.legs => JobStatus::Done,
             status => status,
         };
-        let mut record = job.record(done, status);
+        let mut record = job.record(self.view.done_tasks(done), status);
         record.shorten(self.settings.value_bytes());
         let change = put(&job_key(self.view.names.jobs.name(ix)), &record, None);
         (change.value_bytes() <= self.settings.value_bytes()).then_some(change)
--- a/src/core/formats.rs
+++ b/src/core/formats.rs
@@ -1,11 +1,15 @@
 //! Rolling upgrades: which versions the controllers run, and what may be written when.
 //!
-//! Jobs that wait for others stand under keys that versions before format 2 do not read. Such a
-//! version would never start one too early, but it would answer 404 to its user: no job is accepted
-//! as one that waits while a controller is known to run such a version.
+//! Each controller tells which format of stored values it reads. The leader records the format that
+//! all of them read, and from then on everybody may write it, whatever comes back.
+//!
+//! Jobs that wait for others stand under keys that versions before [`CHAINS_FORMAT`] do not read. Such
+//! a version would never start one too early, but it would answer 404 to its user: no job is accepted
+//! as one that waits while a controller is known to run such a version. Done tasks are written as a
+//! bitmap only once [`DENSE_FORMAT`](crate::records::DENSE_FORMAT) is recorded.
 
 use super::*;
-use crate::records::FormatRecord;
+use crate::records::{CHAINS_FORMAT, FormatRecord};
 use crate::view::FORMAT;
 
 /// A controller that was seen to run an older version and shows nothing any more is given so long
@@ -16,11 +20,21 @@
 /// Jobs asked for at a time.
 const ARCHIVE_JOBS: usize = 4;
 
+/// A controller that was seen to read an older format than this one.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OlderVersion {
+    /// The format that it reads.
+    format: u32,
+    /// When it was last seen.
+    seen: Ms,
+}
+
 impl Core {
     /// Takes note of the version that a controller runs.
     pub(crate) fn note_format(&mut self, host: HostIx, format: u32, now: Ms) {
         if format < self.format {
-            self.older.insert(host, now);
+            let seen = now;
+            self.older.insert(host, OlderVersion { format, seen });
         } else {
             self.older.remove(&host);
         }
@@ -41,41 +55,52 @@
         }
     }
 
-    /// Controllers that are known to run an older version, or did a moment ago.
-    pub fn older_controllers(&self, now: Ms) -> Vec<HostIx> {
-        let lately = self.older.iter();
-        let mut older: Vec<HostIx> = lately
-            .filter(|(_, at)| now.since(**at) < OLDER_GONE_MS)
-            .map(|(&host, _)| host)
-            .collect();
-        let keys = self.view.nodes.iter();
-        let shown = keys.filter(|(host, node)| **host != self.me && node.format < self.format);
-        older.extend(shown.map(|(&host, _)| host));
-        older.sort_unstable();
-        older.dedup();
-        older
+    /// Whether values may be stored in a format that this version cannot read.
+    ///
+    /// Guards against an earlier version that is started by mistake: it would see only a part of the
+    /// jobs and queues, and act on that. It does nothing at all, and the others replace it.
+    pub fn is_outdated(&self) -> bool {
+        self.view.format > CURRENT_FORMAT
+    }
+
+    /// Says once that this version cannot serve here.
+    pub(crate) fn note_outdated(&mut self) {
+        if !std::mem::replace(&mut self.said_outdated, true) {
+            error!(
+                stored = self.view.format,
+                read = CURRENT_FORMAT,
+                "values are stored in a newer format: this version cannot serve here"
+            );
+        }
+    }
+
+    /// The newest format that all controllers read which are there, or were a moment ago.
+    pub fn common_format(&self, now: Ms) -> u32 {
+        let lately = self.older.values();
+        let lately = lately.filter(|older| now.since(older.seen) < OLDER_GONE_MS);
+        let keys = self.view.nodes.iter().filter(|(host, _)| **host != self.me);
+        lately
+            .map(|older| older.format)
+            .chain(keys.map(|(_, node)| node.format))
+            .fold(self.format, u32::min)
     }
 
     /// Whether jobs may be accepted that wait for others. Once all controllers were seen to read
     /// them this stays so, whatever comes back for a moment.
     pub fn accepts_waiting(&self, now: Ms) -> bool {
-        self.format >= CURRENT_FORMAT
-            && (self.view.format >= CURRENT_FORMAT || self.older_controllers(now).is_empty())
+        self.format >= CHAINS_FORMAT
+            && (self.view.format >= CHAINS_FORMAT || self.common_format(now) >= CHAINS_FORMAT)
     }
 
-    /// Records that all controllers read the current format.
+    /// Records the format that all controllers read, as far as the operators let it be written.
     pub(crate) fn plan_format(&mut self, now: Ms) -> Option<Txn> {
-        let due = self.format >= CURRENT_FORMAT
-            && self.view.format < CURRENT_FORMAT
-            && self.listened(now)
-            && self.older_controllers(now).is_empty();
-        if !due {
+        let most = self.settings.options.format_most as u32;
+        let format = self.common_format(now).min(most);
+        if format <= self.view.format || !self.listened(now) {
             return None;
         }
-        let record = FormatRecord {
-            format: CURRENT_FORMAT,
-        };
-        info!(format = CURRENT_FORMAT, "all controllers read this format");
+        let record = FormatRecord { format };
+        info!(format, "all controllers read this format");
         Some(Txn {
             guards: Vec::new(),
             then: vec![put(FORMAT, &record, None)],
--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -67,7 +67,7 @@
 
     /// Whether this controller may act as holder or leader now.
     pub fn has_authority(&self, now: Ms) -> bool {
-        self.authority_until().is_some_and(|until| now < until)
+        !self.is_outdated() && self.authority_until().is_some_and(|until| now < until)
     }
 
     /// Whether a key names this controller in its present life.
@@ -114,6 +114,9 @@
         if !self.view.synced || !self.catalog_known() || self.permit.is_none() {
             return false;
         }
+        if self.is_outdated() {
+            return false;
+        }
         if self.state_ok(now) {
             return true;
         }
--- a/src/core/metrics.rs
+++ b/src/core/metrics.rs
@@ -91,6 +91,8 @@
             "ledger": self.view.ledger, "jobs": self.view.jobs.len(),
             "machines": machines, "counters": self.counters,
             "waiting": self.waiting_jobs(), "versions": self.versions(),
+            "format": self.view.format, "outdated": self.is_outdated(),
+            "unreadable": self.view.unreadable().collect::<Vec<_>>(),
         })
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod endings;
 mod formats;
 mod lease;
+mod merging;
 mod metrics;
 pub(crate) mod pacing;
 mod peers;
@@ -38,7 +39,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
-use tracing::{debug, info, warn};
+use tracing::{debug, error, info, warn};
 
 /// Something for the service to do.
 #[derive(Debug, Clone, PartialEq)]
@@ -188,6 +189,8 @@
     /// judged at.
     unheld_since: Option<Ms>,
     unheld_judged: u64,
+    /// When two small blocks may be merged again.
+    next_merge: Ms,
     /// Blocks held here that are to be divided.
     oversized: BTreeSet<BlockId>,
     /// Revision that the replica must reach before the next one of a kind is planned.
@@ -234,10 +237,12 @@
     /// acted in its place.
     woke: Option<Ms>,
     next_metrics: Ms,
-    /// Format of stored values that this controller writes.
+    /// Format of stored values that this controller reads.
     pub(crate) format: u32,
-    /// When each controller was last known to run an older version.
-    older: HashMap<HostIx, Ms>,
+    /// Whether it was said that this version is too old for what is stored.
+    said_outdated: bool,
+    /// Controllers that were seen to run an older version.
+    older: HashMap<HostIx, formats::OlderVersion>,
     /// When the archive may be asked again for jobs that others need.
     next_archived: Ms,
 }
@@ -290,6 +295,7 @@
             speed: pacing::Speed::default(),
             unheld_since: None,
             unheld_judged: 0,
+            next_merge: Ms(0),
             oversized: BTreeSet::new(),
             op_wait: HashMap::new(),
             refused_at: None,
@@ -320,6 +326,7 @@
             woke: None,
             next_metrics: Ms(0),
             format: CURRENT_FORMAT,
+            said_outdated: false,
             older: HashMap::new(),
             next_archived: Ms(0),
         }
@@ -353,6 +360,10 @@
         }
         let started = *self.started.get_or_insert(now);
         self.last_tick = now;
+        if self.is_outdated() {
+            self.note_outdated();
+            return out;
+        }
         if now >= self.next_metrics {
             self.next_metrics = now.plus(METRICS_MS);
             self.log_metrics();
--- a/src/core/pacing.rs
+++ b/src/core/pacing.rs
@@ -169,7 +169,7 @@
     /// Length of the slowest turn of all blocks with such a share of the budget, ms.
     fn turn_ms(&self, share: f64) -> f64 {
         let rate = self.settings.platform.settings.state.write_rps * share;
-        self.view.blocks.len() as f64 / rate * 1000.0
+        self.used_blocks() as f64 / rate * 1000.0
     }
 
     /// Seconds from one turn of a block's endings to the next, and from one of its edits to the
--- a/src/core/splitting.rs
+++ b/src/core/splitting.rs
@@ -63,7 +63,7 @@
     }
 
     /// Bytes that machines may come to fill in their block's value.
-    fn expected_size<'a>(&self, machines: impl Iterator<Item = &'a Machine>) -> usize {
+    pub(super) fn expected_size<'a>(&self, machines: impl Iterator<Item = &'a Machine>) -> usize {
         machines.map(|m| self.expected_bytes(m.frame)).sum()
     }
 
--- a/src/jobs/chained.rs
+++ b/src/jobs/chained.rs
@@ -9,7 +9,7 @@
 use std::collections::HashSet;
 
 /// Conditions that the service takes for each change that it takes in a transaction (PROTOCOL).
-const GUARDS_PER_CHANGE: usize = 4;
+pub(super) const GUARDS_PER_CHANGE: usize = 4;
 
 /// What is known of a job that a submission names.
 #[derive(Debug, Clone, PartialEq)]
@@ -66,6 +66,12 @@
         /// Most of them.
         most: usize,
     },
+    /// More jobs that are not over than one value has room for.
+    #[error("awaits: the names of {found} jobs that are not over do not fit into a value")]
+    TooLong {
+        /// Unfinished jobs named.
+        found: usize,
+    },
 }
 
 /// Reads the jobs that a submission names: none if the field is absent, null or empty. A job named
@@ -97,7 +103,7 @@
 }
 
 /// Conditions that a job stands under none of its keys.
-fn absent(name: &str) -> Vec<Guard> {
+pub(super) fn absent(name: &str) -> Vec<Guard> {
     let keys = [job_key(name), past_key(name), waiting_key(name)];
     let guards = keys.into_iter().map(|k| Guard { k, stamp: 0 });
     guards.collect()
@@ -133,12 +139,7 @@
         return Ok(Acceptance::Ordinary(accept(name, &record)));
     }
     let (found, most) = (predecessors.len(), most_open(settings));
-    let waiting = WaitingRecord {
-        spec: record.spec,
-        status: JobStatus::Pending,
-        submitted_ms: record.submitted_ms,
-        predecessors: NameList::from_iter(predecessors),
-    };
+    let waiting = new_waiting_record(record, NameList::from_iter(predecessors));
     let change = put(&waiting_key(name), &waiting, None);
     let fits =
         |c: &Change| matches!(c, Change::Put { v, .. } if v.size() <= settings.value_bytes());
@@ -149,6 +150,17 @@
     Ok(Acceptance::Waiting(Txn { guards, then }))
 }
 
+/// The value of a new job that waits for others.
+pub(super) fn new_waiting_record(record: JobRecord, predecessors: NameList) -> WaitingRecord {
+    WaitingRecord {
+        spec: record.spec,
+        status: JobStatus::Pending,
+        submitted_ms: record.submitted_ms,
+        predecessors,
+        incomplete: false,
+    }
+}
+
 /// The transaction that accepts a job which is cancelled already.
 fn accept_withdrawn(name: &str, mut record: JobRecord) -> Txn {
     record.status = JobStatus::Withdrawn;
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -2,8 +2,14 @@
 
 use super::*;
 
+/// Most tasks of one job that are bound at a time.
+const TASKS_AT_ONCE: usize = 128;
 /// Most tasks that a job which has waited long is given at once.
 const FLOOR_TASKS: usize = 16;
+/// Tasks of one job that may be open at its place in the order, however small the fleet is.
+const SHARE_TASKS: usize = 200;
+/// What a task that asks for next to no CPU counts for.
+const MIN_TASK_CPUS: f64 = 0.01;
 /// While there is work that may not run on spot machines, other work goes to an ordinary machine only
 /// if that saves it so much, seconds.
 const SCARCE_S: f64 = 2.0;
@@ -134,14 +140,27 @@
         ahead * (all - booting) as f64 / all as f64
     }
 
+    /// CPUs of all machines.
+    fn fleet_cpus(&self) -> f64 {
+        let machines = self.view.machines.values();
+        let frames = machines.filter_map(|m| self.frames.get(&m.frame));
+        frames.map(|f| f.vcpus).sum()
+    }
+
+    /// Tasks of a job that may be open at its place in the order; the others come after all other
+    /// jobs.
+    ///
+    /// Guards against one job of many hundred tasks that takes all room which comes free, while many
+    /// small ones behind it miss their deadlines.
+    fn share_tasks(&self, job: &Job, fleet_cpus: f64) -> usize {
+        let cpus = fleet_cpus * self.settings.options.queue_share;
+        let tasks = cpus / job.spec.vcpus.max(MIN_TASK_CPUS);
+        (tasks as usize).max(SHARE_TASKS)
+    }
+
     /// Seconds until all that waits would be begun on the fleet as it is.
     fn waiting_s(&self) -> f64 {
-        let frames = self
-            .view
-            .machines
-            .values()
-            .map(|m| self.frames.get(&m.frame));
-        let cpus: f64 = frames.flatten().map(|f| f.vcpus).sum();
+        let cpus = self.fleet_cpus();
         let jobs = self.view.jobs.iter();
         let waiting: f64 = jobs
             .filter(|(_, j)| j.status == JobStatus::Pending)
@@ -196,6 +215,10 @@
             if open >= job.spec.legs || self.held_back(ix, now) {
                 continue;
             }
+            // It may have been cancelled.
+            if self.view.is_unreadable(self.view.names.jobs.name(ix)) {
+                continue;
+            }
             let waited = self.waited_s(ix, job, now);
             // Whoever waits for the team's limit has nothing to gain from a machine.
             let may = teams
@@ -234,7 +257,10 @@
             return plan;
         }
         let value_bytes = self.settings.value_bytes();
+        let encoding = self.view.encoding();
+        let fleet_cpus = self.fleet_cpus();
         let mut jobs: Vec<Candidate> = Vec::new();
+        let mut spare: Vec<Candidate> = Vec::new();
         let first = first.map(|f| f.2);
         if let Some(ix) = first {
             self.lead.turns.insert(ix, now);
@@ -249,17 +275,11 @@
             for &leg in underway.get(&ix).into_iter().flatten() {
                 taken.insert(leg);
             }
-            // Open tasks below the highest bound one are what fragments the done ranges.
-            let open = (taken.len() - job.done.len()) as usize + taken.fragments();
-            let most_open = job.most_open(value_bytes);
-            let mut most = match most_open >= job.spec.legs as usize {
-                true => 128,
-                false => most_open.saturating_sub(open).min(128),
-            };
-            if Some(ix) == first {
+            let most = match Some(ix) == first {
                 // A share that begins the job and does not hold up the others for long.
-                most = most.min((job.spec.legs as usize / 8).clamp(1, FLOOR_TASKS));
-            }
+                true => (job.spec.legs as usize / 8).clamp(1, FLOOR_TASKS),
+                false => TASKS_AT_ONCE,
+            };
             let needs = needs_of(job);
             let placed = needs.same_place || needs.zone_most.is_some();
             let zones = match placed {
@@ -269,19 +289,36 @@
                 }
                 false => HashMap::new(),
             };
-            jobs.push(Candidate {
+            let mut tasks: Vec<u32> = job
+                .bindable(&taken, value_bytes, encoding)
+                .take(most)
+                .collect();
+            let open_tasks = (taken.len() - job.done.len()) as usize;
+            let share_left = self.share_tasks(job, fleet_cpus).saturating_sub(open_tasks);
+            let beyond_share = tasks.split_off(share_left.min(tasks.len()));
+            let candidate = Candidate {
                 job: ix,
                 team: job.team,
                 image: job.image,
                 image_gb: job.spec.size_gb,
                 needs,
                 run_s: self.run_s(job),
-                tasks: taken.gaps(job.spec.legs).take(most).collect(),
+                tasks,
                 zones,
                 overdue: overdue.contains(&ix),
                 early: self.goes_early(ix, job),
-            });
+                spare: false,
+            };
+            if !beyond_share.is_empty() && !placed {
+                spare.push(Candidate {
+                    tasks: beyond_share,
+                    spare: true,
+                    ..candidate.clone()
+                });
+            }
+            jobs.push(candidate);
         }
+        jobs.append(&mut spare);
         let limits = Limits {
             ahead_s: self.ahead_s(now),
             sample: self.settings.options.queue_sample as usize,
@@ -322,3 +359,6 @@
             .collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/leader/binding/tests.rs
@@ -0,0 +1,47 @@
+//! Unit tests of the order of jobs.
+
+use super::*;
+use crate::jobs::tests::{GOOD, job_of};
+use crate::jobs::{Read, read};
+use crate::settings::tests::small;
+
+const SUBMITTED_MS: u64 = 1_700_000_000_000;
+
+/// A controller at a time of day, and a job that was submitted at `SUBMITTED_MS` and became ready
+/// 100 s later.
+fn at(seconds: u64, due_s: Option<f64>) -> (Core, Job) {
+    let Read::Good(good) = read(GOOD.as_bytes()) else {
+        panic!("good")
+    };
+    let mut spec = good.spec;
+    spec.due_s = due_s;
+    spec.crew = "blue".into();
+    let mut job = job_of(spec);
+    job.submitted_ms = SUBMITTED_MS;
+    job.ready_ms = Some(SUBMITTED_MS + 100_000);
+    let mut core = Core::new(small(), 1);
+    core.day_ms = SUBMITTED_MS + seconds * 1000;
+    (core, job)
+}
+
+fn slack_at(seconds: u64, due_s: Option<f64>) -> f64 {
+    let (core, job) = at(seconds, due_s);
+    core.slack_s(JobIx::from_raw(0), &job).0
+}
+
+#[test]
+fn the_deadline_counts_from_the_submission_however_long_the_job_waited() {
+    let (core, job) = at(130, Some(300.0));
+    let wide = core.settings.platform.settings.teams[0].cpus_max;
+    let work = f64::from(job.spec.legs) * job.spec.vcpus * job.spec.ride_s;
+    let rest = job.spec.ride_s + work / wide;
+    assert!((slack_at(130, Some(300.0)) - (170.0 - rest)).abs() < 1e-6);
+}
+
+#[test]
+fn all_other_times_count_from_when_the_job_became_ready() {
+    // Without a deadline only the age counts, and it began when the job became ready.
+    let (now, later) = (slack_at(130, None), slack_at(140, None));
+    assert!((now - later - 10.0).abs() < 1e-6);
+    assert!((now - (1e5 - 30.0)).abs() < 1e-6, "{now}");
+}
--- a/src/leader/chains.rs
+++ b/src/leader/chains.rs
@@ -1,15 +1,19 @@
 //! Jobs that wait for others: what is ready becomes an ordinary job, what is cancelled is archived.
 
 use super::*;
-use crate::records::{JobRecord, WaitingRecord};
+use crate::records::{CHAINS_FORMAT, DoneTasks, JobRecord, WaitingRecord};
 use crate::view::waiting_key;
 
+/// A job that is incomplete for so long is given up: its user repeats the submission for 60 s
+/// (PROTOCOL, submissions).
+const ABANDONED_MS: u64 = 180_000;
+
 /// The ordinary job, or the archived one, that a waiting job becomes.
 fn record_of(waiting: &WaitingRecord, status: JobStatus, ready_ms: Option<u64>) -> JobRecord {
     JobRecord {
         spec: waiting.spec.clone(),
         status,
-        done: RangeSet::new(),
+        done: DoneTasks::default(),
         submitted_ms: waiting.submitted_ms,
         ready_ms,
     }
@@ -22,7 +26,7 @@
     /// A done job stays done, so the transaction needs no condition on it: the own key of the job
     /// that waits decides between this and its cancellation.
     pub(crate) fn plan_ready(&mut self) -> Option<Txn> {
-        if self.format < crate::records::CURRENT_FORMAT {
+        if self.format < CHAINS_FORMAT {
             return None;
         }
         // Nothing becomes ready without a change of the replica.
@@ -30,7 +34,9 @@
             return None;
         }
         let waiting = self.view.waiting.jobs.keys().copied();
-        let mut ready: Vec<JobIx> = waiting.filter(|&job| self.view.is_ready(job)).collect();
+        let readable = |job: JobIx| !self.view.is_unreadable(self.view.names.jobs.name(job));
+        let ready = waiting.filter(|&job| self.view.is_ready(job) && readable(job));
+        let mut ready: Vec<JobIx> = ready.collect();
         if ready.is_empty() {
             self.lead.none_ready_at = Some(self.view.version);
             return None;
@@ -57,6 +63,21 @@
         (!txn.then.is_empty()).then_some(txn)
     }
 
+    /// Drops incomplete jobs that their users have given up.
+    pub(crate) fn plan_abandoned(&self) -> Option<Txn> {
+        let waiting = self.view.waiting.jobs.iter();
+        let mut abandoned = waiting.filter(|(_, w)| {
+            let age_ms = self.day_ms.saturating_sub(w.record.submitted_ms);
+            w.record.incomplete && age_ms > ABANDONED_MS
+        });
+        let (&job, _) = abandoned.next()?;
+        let drop = waiting_key(self.view.names.jobs.name(job));
+        Some(Txn {
+            guards: vec![self.guard(&drop)],
+            then: vec![Change::Drop { drop }],
+        })
+    }
+
     /// The priority of a job that waits, and of those that need it.
     fn waiting_urgency(&self, job: JobIx) -> Urgency {
         let own = self.view.waiting.jobs.get(&job);
@@ -71,7 +92,10 @@
     pub(crate) fn withdrawn_waiting(&self) -> Vec<(JobIx, String, JobRecord)> {
         let waiting = self.view.waiting.jobs.iter();
         let over = waiting.filter(|(job, w)| {
-            w.withdrawn && w.stamp <= self.view.ledger && !self.view.dependencies.is_needed(**job)
+            w.withdrawn
+                && !w.record.incomplete
+                && w.stamp <= self.view.ledger
+                && !self.view.dependencies.is_needed(**job)
         });
         over.map(|(&job, w)| {
             let key = waiting_key(self.view.names.jobs.name(job));
--- a/src/leader/finishing.rs
+++ b/src/leader/finishing.rs
@@ -63,11 +63,16 @@
                 && j.stamp <= self.view.ledger
                 && !self.view.is_mentioned(**ix)
                 && !binding.contains(*ix)
+                && !self.view.is_unreadable(self.view.names.jobs.name(**ix))
         });
         let mut over: Vec<(JobIx, String, JobRecord)> = over
             .map(|(&ix, j)| {
                 let key = job_key(self.view.names.jobs.name(ix));
-                (ix, key, j.record(j.stored.clone(), j.status))
+                (
+                    ix,
+                    key,
+                    j.record(self.view.done_tasks(j.stored.clone()), j.status),
+                )
             })
             .collect();
         over.extend(self.withdrawn_waiting());
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -161,6 +161,7 @@
                 .or_else(|| self.plan_ready())
                 .or_else(|| self.plan_finish())
                 .or_else(|| self.plan_format(now))
+                .or_else(|| self.plan_abandoned())
                 .or_else(|| self.plan_archive(now))
                 .or_else(|| self.plan_catalog());
             if let Some(mut txn) = txn {
--- a/src/leader/preemption.rs
+++ b/src/leader/preemption.rs
@@ -15,7 +15,7 @@
         let mut out: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
         let pressing: Vec<(&Candidate, &Job, f64)> = blocked
             .iter()
-            .filter(|c| !c.tasks.is_empty())
+            .filter(|c| !c.tasks.is_empty() && !c.spare)
             .filter_map(|c| Some((c, self.view.jobs.get(&c.job)?)))
             .map(|(c, job)| (c, job, self.rank(c.job, job)))
             .filter(|(_, _, rank)| rank.0 <= 2 && rank.1 <= 60.0)
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -173,6 +173,8 @@
     pub overdue: bool,
     /// Whether its tasks need not wait for the regular turns of machines.
     pub early: bool,
+    /// Whether it is what a job asks for beyond its share: room that nobody else wants.
+    pub spare: bool,
 }
 
 impl Candidate {
@@ -293,9 +295,12 @@
             taken += 1;
         }
         job.tasks.drain(..taken);
-        if !job.tasks.is_empty() && !within(&job.needs.room, team) {
+        if job.tasks.is_empty() || job.spare {
+            continue;
+        }
+        if !within(&job.needs.room, team) {
             held.insert(job.team);
-        } else if !job.tasks.is_empty() {
+        } else {
             keep(slots, &mut kept, job, limits);
         }
     }
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -53,6 +53,7 @@
         zones: HashMap::new(),
         overdue: false,
         early: false,
+        spare: false,
     }
 }
 
--- a/src/ranges.rs
+++ b/src/ranges.rs
@@ -1,9 +1,11 @@
-//! Sets of task numbers kept as sorted, disjoint ranges, written as `0-3,7,9-12`.
+//! Sets of task numbers kept as sorted, disjoint ranges, written as `0-3,7,9-12` or as a bitmap.
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
 use std::fmt;
 use std::str::FromStr;
 
+pub mod bitmap;
+
 /// A set of task numbers. Ranges are half-open in memory and inclusive in text.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RangeSet {
@@ -15,6 +17,12 @@
 #[error("not a list of task ranges: {0:?}")]
 pub struct BadRanges(String);
 
+impl BadRanges {
+    fn of(text: &str) -> Self {
+        Self(text.chars().take(40).collect())
+    }
+}
+
 impl RangeSet {
     /// The empty set.
     pub fn new() -> Self {
@@ -53,6 +61,34 @@
         self.parts.iter().map(part).sum()
     }
 
+    /// The lowest task that is absent.
+    pub fn first_missing(&self) -> u32 {
+        match self.parts.first() {
+            Some(&(0, hi)) => hi,
+            _ => 0,
+        }
+    }
+
+    /// One more than the highest task.
+    pub fn end(&self) -> u32 {
+        self.parts.last().map_or(0, |p| p.1)
+    }
+
+    /// The text as ranges or as a bitmap, whichever is shorter.
+    pub fn shortest_text(&self) -> String {
+        let bits = self.end().saturating_sub(self.first_missing()) as usize;
+        // Most sets are a few ranges: for these no bitmap is made.
+        if bits.div_ceil(6) >= self.text_len() {
+            return self.to_string();
+        }
+        let (ranges, bitmap) = (self.to_string(), bitmap::write(self));
+        if bitmap.len() < ranges.len() {
+            bitmap
+        } else {
+            ranges
+        }
+    }
+
     /// Whether `task` belongs to the set.
     pub fn contains(&self, task: u32) -> bool {
         let at = self.parts.partition_point(|&(_, hi)| hi <= task);
@@ -172,7 +208,7 @@
 
     /// Reads ranges with numbers in a base of up to 36.
     pub(crate) fn read(text: &str, base: u32) -> Result<Self, BadRanges> {
-        let bad = || BadRanges(text.chars().take(40).collect());
+        let bad = || BadRanges::of(text);
         let mut set = RangeSet::new();
         for part in text.split(',').filter(|p| !p.is_empty()) {
             let (lo, hi) = part.split_once('-').unwrap_or((part, part));
@@ -199,7 +235,10 @@
     type Err = BadRanges;
 
     fn from_str(text: &str) -> Result<Self, BadRanges> {
-        Self::read(text, 10)
+        match bitmap::is_bitmap(text) {
+            true => bitmap::read(text),
+            false => Self::read(text, 10),
+        }
     }
 }
 
--- /dev/null
+++ b/src/ranges/bitmap.rs
@@ -0,0 +1,62 @@
+//! Sets of task numbers as a bitmap in text.
+//!
+//! While the tasks of a job end in no order, a list of ranges needs several characters for each range,
+//! and a bitmap a sixth of a character for each task. The text is `b12:` and, in base64, one bit for
+//! each task from number 12 on; all tasks below it are in the set, and none after the last bit.
+
+use super::{BadRanges, RangeSet};
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+
+/// What a bitmap's text begins with; no list of ranges does.
+const MARK: char = 'b';
+/// Longest text of what precedes the bits: the mark, a number of 32 bits and the separator.
+const PREFIX_BYTES: usize = 12;
+/// Tasks whose bits fill whole characters: three bytes are four characters.
+const GROUP_TASKS: usize = 24;
+const GROUP_CHARACTERS: usize = 4;
+
+/// Number of tasks, from the first missing one on, whose bits surely fit into so many bytes of text,
+/// whichever of them are in the set.
+pub fn tasks_within(bytes: usize) -> usize {
+    bytes.saturating_sub(PREFIX_BYTES) / GROUP_CHARACTERS * GROUP_TASKS
+}
+
+/// Whether a text is a bitmap.
+pub(super) fn is_bitmap(text: &str) -> bool {
+    text.starts_with(MARK)
+}
+
+/// Writes a set.
+pub(super) fn write(set: &RangeSet) -> String {
+    let first = set.first_missing();
+    let end = set.end();
+    let mut bits = vec![0u8; (end.saturating_sub(first) as usize).div_ceil(8)];
+    for task in set.iter().filter(|&task| task >= first) {
+        let at = (task - first) as usize;
+        bits[at / 8] |= 1 << (at % 8);
+    }
+    format!("{MARK}{first}:{}", URL_SAFE_NO_PAD.encode(bits))
+}
+
+/// Reads what [`write()`] wrote.
+pub(super) fn read(text: &str) -> Result<RangeSet, BadRanges> {
+    let bad = || BadRanges::of(text);
+    let (first, bits) = text
+        .strip_prefix(MARK)
+        .and_then(|rest| rest.split_once(':'))
+        .ok_or_else(bad)?;
+    let first: u32 = first.parse().map_err(|_| bad())?;
+    let bits = URL_SAFE_NO_PAD.decode(bits).map_err(|_| bad())?;
+    let fits = u32::try_from(bits.len() * 8).is_ok_and(|n| first.checked_add(n).is_some());
+    if !fits {
+        return Err(bad());
+    }
+    let mut set = RangeSet::all(first);
+    for (at, byte) in (0u32..).zip(&bits) {
+        for bit in (0..8).filter(|bit| byte & (1 << bit) != 0) {
+            set.insert(first + at * 8 + bit);
+        }
+    }
+    Ok(set)
+}
--- a/src/ranges/tests.rs
+++ b/src/ranges/tests.rs
@@ -43,3 +43,60 @@
         assert!(text.parse::<RangeSet>().is_err(), "{text}");
     }
 }
+
+#[test]
+fn a_set_reads_back_from_whichever_text_is_shorter() {
+    let mut scattered = RangeSet::all(40);
+    for task in (41..900).step_by(3) {
+        scattered.insert(task);
+    }
+    let text = scattered.shortest_text();
+    assert!(text.starts_with("b40:") && text.len() < 160, "{text}");
+    assert_eq!(text.parse(), Ok(scattered.clone()));
+    let sets = [
+        "",
+        "0",
+        "7",
+        "0-899",
+        "3,5,7",
+        "0-3,9-12",
+        "100000",
+        "0-99999,100002",
+    ];
+    for text in sets {
+        let set: RangeSet = text.parse().expect("good");
+        assert_eq!(set.shortest_text().parse(), Ok(set.clone()), "{text}");
+        assert_eq!(bitmap::write(&set).parse(), Ok(set.clone()), "{text}");
+        assert!(set.shortest_text().len() <= text.len());
+    }
+}
+
+#[test]
+fn bits_of_any_tasks_fit_into_the_bytes_that_are_kept_for_them() {
+    for bytes in [0, 12, 40, 1000] {
+        for first in [0, 99_000] {
+            let tasks = bitmap::tasks_within(bytes) as u32;
+            let mut set = RangeSet::all(first);
+            for task in (first + 1..first + tasks).step_by(2) {
+                set.insert(task);
+            }
+            assert!(set.len() == first || bitmap::write(&set).len() <= bytes);
+        }
+    }
+}
+
+#[test]
+fn text_that_is_no_bitmap_is_refused() {
+    for text in [
+        "b",
+        "b1",
+        "b:",
+        "bx:AA",
+        "b1:A",
+        "b1:*",
+        "b4294967295:AQ",
+        "b-1:AA",
+    ] {
+        assert!(text.parse::<RangeSet>().is_err(), "{text}");
+    }
+}
--- a/src/records.rs
+++ b/src/records.rs
@@ -9,9 +9,50 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
 use std::collections::BTreeMap;
 
-/// The format of stored values that this version writes. Format 2 brought jobs that wait for others;
-/// versions before it do not say which one they write, which reads as 0.
-pub const CURRENT_FORMAT: u32 = 2;
+/// The format that brought jobs that wait for others; versions before it do not say which one they
+/// read, which counts as 0.
+pub const CHAINS_FORMAT: u32 = 2;
+/// The format that brought denser values ([`Encoding::Dense`]).
+pub const DENSE_FORMAT: u32 = 3;
+/// The format of stored values that this version reads, and writes once all controllers read it.
+pub const CURRENT_FORMAT: u32 = DENSE_FORMAT;
+
+/// How densely a value is written. Both forms are read at any time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Encoding {
+    /// As every version reads it.
+    #[default]
+    Compatible,
+    /// Done tasks of a job as ranges or as a bitmap, whichever is shorter; the kinds of a block's
+    /// machines by places in one list of names. Only once every controller reads [`DENSE_FORMAT`].
+    Dense,
+}
+
+/// The done tasks of a job, as its value has them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DoneTasks {
+    /// The tasks.
+    pub tasks: RangeSet,
+    /// How they are written.
+    pub encoding: Encoding,
+}
+
+impl Serialize for DoneTasks {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        match self.encoding {
+            Encoding::Compatible => self.tasks.serialize(s),
+            Encoding::Dense => s.serialize_str(&self.tasks.shortest_text()),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for DoneTasks {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let tasks = RangeSet::deserialize(d)?;
+        let encoding = Encoding::default();
+        Ok(Self { tasks, encoding })
+    }
+}
 
 /// A job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -24,7 +65,7 @@
     pub status: JobStatus,
     /// Tasks done.
     #[serde(rename = "d")]
-    pub done: RangeSet,
+    pub done: DoneTasks,
     /// Time of day of the submission, ms.
     #[serde(rename = "t")]
     pub submitted_ms: u64,
@@ -47,7 +88,7 @@
             return;
         }
         if self.status == JobStatus::Withdrawn {
-            self.done = RangeSet::all(self.done.len());
+            self.done.tasks = RangeSet::all(self.done.tasks.len());
         }
         if too_large(self) {
             (self.spec.frames, self.spec.yard) = (None, None);
@@ -71,6 +112,10 @@
     /// The jobs that it needs and that were not done when it was submitted.
     #[serde(rename = "n")]
     pub predecessors: NameList,
+    /// Whether more of them are to be added before the job is accepted. Never true before
+    /// [`DENSE_FORMAT`] is recorded, for versions before it do not know this.
+    #[serde(rename = "i", default, skip_serializing_if = "std::ops::Not::not")]
+    pub incomplete: bool,
 }
 
 /// Names in ascending order, written front-coded.
@@ -117,6 +162,9 @@
 /// Tasks of one job and attempt in a block's value: place in its table of jobs, tasks, attempt.
 pub type Listing = (usize, RangeSet, u64);
 
+/// A kind of machine: type, zone, spot.
+pub type Kind = (String, String, bool);
+
 /// A machine of a block with its queue.
 #[derive(Debug, Clone, PartialEq)]
 pub struct MachineRecord {
@@ -133,8 +181,8 @@
 /// A block of machines.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct BlockRecord {
-    /// Kinds of machines: type, zone, spot.
-    pub kinds: Vec<(String, String, bool)>,
+    /// Kinds of machines.
+    pub kinds: Vec<Kind>,
     /// Jobs.
     pub jobs: Vec<String>,
     /// What is added to each attempt.
@@ -143,16 +191,25 @@
     pub machines: BTreeMap<String, MachineRecord>,
     /// Tasks that were done here and that their jobs' own keys need not show yet.
     pub done: Vec<(usize, RangeSet)>,
+    /// How it is written.
+    pub encoding: Encoding,
 }
 
 /// A block's value as it is written. Machines are separated by `;`: `8m-000231 0 3:0-3@c 5:7@e !
 /// 5:7@e` is a machine whose name shares 8 characters with the one before; it is of kind 0, and its
 /// queue lists tasks 0 to 3 of job 3 as attempt 12 and task 7 of job 5 as attempt 14, the latter to
 /// be stopped. An `x` after the kind means that the machine is being given back.
+///
+/// Kinds are listed whole in `k`, or densely: `0.2 1.2s` in `c` are a machine of the type first in the
+/// names `n` and the zone third there, and a spot machine of the second type in the same zone.
 #[derive(Serialize, Deserialize)]
 struct Packed {
-    #[serde(default)]
-    k: Vec<(String, String, bool)>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    k: Option<Vec<Kind>>,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    n: String,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    c: String,
     #[serde(default)]
     j: String,
     #[serde(default)]
@@ -296,10 +353,57 @@
     }
 }
 
+/// Writes kinds densely: the names of types and zones, and the kinds by their places there.
+fn write_kinds(kinds: &[Kind]) -> (String, String) {
+    let mut names: Vec<String> = Vec::new();
+    let mut place = |name: &String| match names.iter().position(|n| n == name) {
+        Some(at) => at,
+        None => {
+            names.push(name.clone());
+            names.len() - 1
+        }
+    };
+    let mut text = String::new();
+    for (frame, zone, spot) in kinds {
+        if !text.is_empty() {
+            text.push(' ');
+        }
+        write_number(place(frame) as u64, 36, &mut text);
+        text.push('.');
+        write_number(place(zone) as u64, 36, &mut text);
+        if *spot {
+            text.push('s');
+        }
+    }
+    (write_names(&names), text)
+}
+
+/// Reads what [`write_kinds`] wrote.
+fn read_kinds(names: &str, kinds: &str) -> Result<Vec<Kind>, BadText> {
+    let names = read_names(names)?;
+    let name = |place: &str| names.get(read_number(place)? as usize).cloned();
+    let read = |text: &str| {
+        let (frame, zone) = text.split_once('.')?;
+        let ordinary = zone.strip_suffix('s');
+        let spot = ordinary.is_some();
+        Some((name(frame)?, name(ordinary.unwrap_or(zone))?, spot))
+    };
+    let kinds = parts(kinds, ' ');
+    kinds
+        .map(|text| read(text).ok_or_else(|| bad(text)))
+        .collect()
+}
+
 impl From<&BlockRecord> for Packed {
     fn from(b: &BlockRecord) -> Packed {
+        let (whole, (names, places)) = match b.encoding {
+            Encoding::Compatible => (Some(b.kinds.clone()), Default::default()),
+            Encoding::Dense => (None, write_kinds(&b.kinds)),
+        };
         let mut packed = Packed {
-            k: b.kinds.clone(),
+            k: whole,
+            n: names,
+            c: places,
             j: write_names(&b.jobs),
             a: b.first_attempt,
             m: String::new(),
@@ -336,8 +440,12 @@
     type Error = BadText;
 
     fn try_from(p: Packed) -> Result<Self, BadText> {
+        let kinds = match p.k {
+            Some(kinds) => kinds,
+            None => read_kinds(&p.n, &p.c)?,
+        };
         let mut b = BlockRecord {
-            kinds: p.k,
+            kinds,
             jobs: read_names(&p.j)?,
             first_attempt: p.a,
             ..BlockRecord::default()
--- a/src/records/tests.rs
+++ b/src/records/tests.rs
@@ -74,4 +74,11 @@
     }
     assert!(serde_json::from_str::<BlockRecord>(r#"{"d":"1"}"#).is_err());
     assert!(serde_json::from_str::<BlockRecord>(r#"{"j":"9x"}"#).is_err());
+    for kinds in ["0", "0.", ".0", "0.2", "s.0", "0.1ss", "0.0 "] {
+        let value = serde_json::json!({ "n": "0small 0north", "c": kinds });
+        assert!(
+            serde_json::from_value::<BlockRecord>(value).is_err(),
+            "{kinds:?}"
+        );
+    }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -369,6 +369,9 @@
     /// Seconds that a job waits at most for its first tasks, and for more of them, before it is
     /// served ahead of its turn.
     queue_floor_s: "queues/floor-s" = 80.0 in 5.0..=3600.0;
+    /// Part of the fleet's CPUs that one job may use at its place in the order; beyond it, and beyond
+    /// 200 tasks, it has the room that no other job wants.
+    queue_share: "queues/share" = 0.03 in 0.001..=1.0;
     /// CPUs of running tasks that may be stopped at a time for more pressing ones.
     evict_cpus: "queues/evict-cpus" = 24.0 in 0.0..=10000.0;
     /// Seconds of work that a rented CPU should find waiting.
@@ -391,6 +394,9 @@
     peers_period_ms: "peers/period-ms" = 700.0 in 100.0..=10000.0;
     /// Seconds of silence after which a peer is suspected.
     peers_silent_s: "peers/silent-s" = 2.5 in 0.5..=60.0;
+    /// Newest format of stored values that is written. An earlier one keeps the way back open to a
+    /// version that reads no newer one; what was written once stays.
+    format_most: "upgrade/format-most" = 3.0 in 2.0..=3.0;
     /// Milliseconds that endings are gathered before they are written.
     flush_ms: "writes/flush-ms" = 150.0 in 10.0..=5000.0;
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -8,7 +8,9 @@
     ClassIx, FrameIx, HostIx, ImageIx, Index, Interner, JobIx, MachineIx, TeamIx, ZoneIx,
 };
 use crate::ranges::RangeSet;
-use crate::records::{FormatRecord, JobRecord, LoadRecord, NodeRecord, OwnerRecord};
+use crate::records::{
+    DENSE_FORMAT, DoneTasks, Encoding, FormatRecord, JobRecord, LoadRecord, NodeRecord, OwnerRecord,
+};
 use crate::wire::{Change, Item, JobStatus, Json, News, Txn};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -215,6 +217,9 @@
     /// Pending jobs all of whose tasks are done.
     complete: BTreeSet<JobIx>,
     noted: HashMap<JobIx, Noted>,
+    /// Keys whose latest value cannot be read: of a version that is not known here, or damaged. They
+    /// are never written, for their revision is not known either.
+    unreadable: BTreeSet<String>,
 }
 
 /// Queue totals of one controller's machines.
@@ -380,8 +385,15 @@
         } else {
             Ok(())
         };
-        if let Err(e) = ok {
-            tracing::error!(key, stamp, error = %e, "a value in the state service cannot be read");
+        match ok {
+            Ok(()) => {
+                self.unreadable.remove(key);
+            }
+            Err(e) => {
+                if self.unreadable.insert(key.to_owned()) {
+                    tracing::error!(key, stamp, error = %e, "a value in the state service cannot be read");
+                }
+            }
         }
         if !key.starts_with(LOADS) {
             self.version += 1;
@@ -407,12 +419,12 @@
             // The specification never changes.
             job.stamp = stamp;
             job.status = r.status;
-            job.done.union(&r.done);
-            job.stored = r.done;
+            job.done.union(&r.done.tasks);
+            job.stored = r.done.tasks;
             self.note_progress(ix);
             return;
         }
-        let mut done = r.done.clone();
+        let mut done = r.done.tasks.clone();
         if let Some(noted) = self.noted.get(&ix) {
             done.union(&noted.done);
         }
@@ -430,14 +442,14 @@
             zone: r.spec.yard.as_ref().map(|y| names.zones.intern(y)),
             status: r.status,
             done,
-            stored: r.done,
+            stored: r.done.tasks,
             submitted_ms: r.submitted_ms,
             ready_ms: r.ready_ms,
             spec: Arc::new(r.spec),
             bytes: 0,
         };
         let job = Job {
-            bytes: Json::of(&job.record(RangeSet::new(), JobStatus::Withdrawn)).size(),
+            bytes: Json::of(&job.record(DoneTasks::default(), JobStatus::Withdrawn)).size(),
             ..job
         };
         self.left.retain(|&j| j != ix);
@@ -463,6 +475,7 @@
 
     fn remove(&mut self, key: &str) {
         self.version += 1;
+        self.unreadable.remove(key);
         let block = |s: &str| s.parse().ok().map(BlockId);
         if key == LEAD {
             self.lead = None;
@@ -491,6 +504,32 @@
         }
     }
 
+    /// Keys whose latest value cannot be read.
+    pub fn unreadable(&self) -> impl Iterator<Item = &str> {
+        self.unreadable.iter().map(String::as_str)
+    }
+
+    /// Whether a job stands under a key whose value cannot be read: then nothing is known of it,
+    /// least of all that it was never accepted.
+    pub fn is_unreadable(&self, job: &str) -> bool {
+        let keys = || [job_key(job), waiting_key(job)];
+        !self.unreadable.is_empty() && keys().iter().any(|key| self.unreadable.contains(key))
+    }
+
+    /// How densely values are to be written.
+    pub fn encoding(&self) -> Encoding {
+        match self.format >= DENSE_FORMAT {
+            true => Encoding::Dense,
+            false => Encoding::Compatible,
+        }
+    }
+
+    /// Done tasks as a job's value is to have them.
+    pub fn done_tasks(&self, tasks: RangeSet) -> DoneTasks {
+        let encoding = self.encoding();
+        DoneTasks { tasks, encoding }
+    }
+
     /// Number of jobs that are not over and wait for no other.
     pub fn pending(&self) -> usize {
         let jobs = self.jobs.values();
--- a/src/view/blocks.rs
+++ b/src/view/blocks.rs
@@ -168,7 +168,10 @@
     /// The value that a block's key is to have. What the jobs' own keys show already, or need no
     /// more, is left out.
     pub fn seal(&self, draft: &Draft) -> BlockRecord {
-        let mut record = BlockRecord::default();
+        let mut record = BlockRecord {
+            encoding: self.encoding(),
+            ..BlockRecord::default()
+        };
         let mut jobs = Table::default();
         let mut kinds = Table::default();
         let queues = || draft.machines.values().flat_map(|m| &m.queue);
--- a/src/view/job.rs
+++ b/src/view/job.rs
@@ -2,10 +2,14 @@
 
 use crate::names::{ClassIx, FrameIx, ImageIx, TeamIx, ZoneIx};
 use crate::ranges::RangeSet;
-use crate::records::JobRecord;
+use crate::ranges::bitmap;
+use crate::records::{DoneTasks, Encoding, JobRecord};
 use crate::wire::{JobSpec, JobStatus};
 use std::sync::Arc;
 
+/// So many tasks of a job may be open in any case.
+const LEAST_OPEN: usize = 16;
+
 /// A job, with its names mapped to indices.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -39,7 +43,7 @@
 
 impl Job {
     /// Most of its tasks that may be open below the highest bound one, so that what is done always
-    /// fits into a value of so many bytes, in whatever order they end.
+    /// fits into a value of so many bytes as ranges, in whatever order they end.
     ///
     /// A gap between done tasks costs one more range in the text, at worst two numbers and two
     /// signs. One bound for all jobs, by the longest numbers, held jobs of several hundred tasks
@@ -53,10 +57,47 @@
         match range * legs.div_ceil(3) <= room {
             true => legs,
             // One range more than there are gaps.
-            false => (room / range).saturating_sub(1).max(16),
+            false => (room / range).saturating_sub(1).max(LEAST_OPEN),
         }
     }
 
+    /// Number of the first task that may not be open yet, so that what is done always fits into a
+    /// value of so many bytes, in whatever order tasks end.
+    ///
+    /// Tasks are bound in the order of their numbers, so a bitmap has to reach from the first one that
+    /// is not done to the highest that is open.
+    pub fn open_end(&self, value_bytes: usize, encoding: Encoding) -> u32 {
+        let tasks = self.spec.legs;
+        match encoding {
+            Encoding::Compatible => tasks,
+            Encoding::Dense => {
+                let room = value_bytes.saturating_sub(self.bytes);
+                let window = bitmap::tasks_within(room).max(LEAST_OPEN);
+                let window = u32::try_from(window).unwrap_or(u32::MAX);
+                let end = self.done.first_missing().saturating_add(window);
+                end.min(tasks)
+            }
+        }
+    }
+
+    /// The tasks that may be bound next, of those not yet `taken`: done, bound, or about to be.
+    pub fn bindable<'a>(
+        &self,
+        taken: &'a RangeSet,
+        value_bytes: usize,
+        encoding: Encoding,
+    ) -> impl Iterator<Item = u32> + 'a {
+        // Open tasks below the highest bound one are what fragments the done ranges.
+        let open = (taken.len() - self.done.len()) as usize + taken.fragments();
+        let most_open = self.most_open(value_bytes);
+        let bounded = encoding == Encoding::Compatible && most_open < self.spec.legs as usize;
+        let most = match bounded {
+            true => most_open.saturating_sub(open),
+            false => usize::MAX,
+        };
+        taken.gaps(self.open_end(value_bytes, encoding)).take(most)
+    }
+
     /// Room of one task.
     pub fn room(&self) -> crate::queue::Room {
         crate::queue::Room {
@@ -67,7 +108,7 @@
     }
 
     /// The value to be stored, with other done ranges and state.
-    pub fn record(&self, done: RangeSet, status: JobStatus) -> JobRecord {
+    pub fn record(&self, done: DoneTasks, status: JobStatus) -> JobRecord {
         JobRecord {
             spec: (*self.spec).clone(),
             status,
--- a/src/view/tests.rs
+++ b/src/view/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::jobs::tests::{GOOD, job_of};
 use crate::jobs::{Read, read};
+use crate::records::BlockRecord;
 
 /// The value of a job of which every third task is open, up to so many open ones.
 fn longest(job: &Job, open: usize) -> usize {
@@ -14,7 +15,21 @@
     for gap in (first..last).step_by(3) {
         done.insert_range(gap as u32 + 1, (gap as u32 + 3).min(job.spec.legs));
     }
-    Json::of(&job.record(done, JobStatus::Withdrawn)).size()
+    let encoding = Encoding::Compatible;
+    let tasks = done;
+    Json::of(&job.record(DoneTasks { tasks, encoding }, JobStatus::Withdrawn)).size()
+}
+
+/// The value of a job of which every other task is done up to the last one that may be open, from
+/// the first missing one on.
+fn longest_bitmap(job: &Job, value_bytes: usize) -> usize {
+    let encoding = Encoding::Dense;
+    let first = job.done.first_missing();
+    let mut tasks = RangeSet::all(first);
+    for task in (first + 1..job.open_end(value_bytes, encoding)).step_by(2) {
+        tasks.insert(task);
+    }
+    Json::of(&job.record(DoneTasks { tasks, encoding }, JobStatus::Withdrawn)).size()
 }
 
 #[test]
@@ -36,14 +51,33 @@
                 "{legs} tasks, {open} open: {size} bytes"
             );
             assert!(open >= 16.min(legs as usize));
+            for done in [0, legs / 3, legs.saturating_sub(10)] {
+                let done = RangeSet::all(done);
+                let job = Job {
+                    done,
+                    ..job.clone()
+                };
+                let size = longest_bitmap(&job, value_bytes);
+                assert!(
+                    size <= value_bytes,
+                    "{legs} tasks as a bitmap: {size} bytes"
+                );
+            }
         }
     }
     // What held large jobs back: 202 at a time in 4 KiB.
     let mut spec = good.spec.clone();
     spec.legs = 700;
     assert_eq!(job_of(spec.clone()).most_open(4032), 700);
+    // And 203 of 900 in 2 KiB, as ranges.
+    spec.legs = 900;
+    let job = job_of(spec.clone());
+    assert!(job.most_open(1984) < 250);
+    assert_eq!(job.open_end(1984, Encoding::Dense), 900);
     spec.legs = 20_000;
-    assert!(job_of(spec).most_open(4032) > 280);
+    let job = job_of(spec);
+    assert!(job.most_open(4032) > 280);
+    assert!(job.open_end(4032, Encoding::Dense) > 15_000);
 }
 
 /// A transaction that writes a key.
@@ -79,3 +113,38 @@
     view.load(Vec::new(), 12);
     assert_eq!((view.stamp(&lead), view.stamp(&grant)), (0, 0));
 }
+
+#[test]
+fn values_are_dense_only_once_it_is_recorded_that_all_controllers_read_them() {
+    let Read::Good(good) = read(GOOD.as_bytes()) else {
+        panic!("good")
+    };
+    let mut spec = good.spec;
+    spec.legs = 900;
+    let job = job_of(spec);
+    let mut scattered = RangeSet::new();
+    for task in (1..900).step_by(2) {
+        scattered.insert(task);
+    }
+    let kind = ("small".to_owned(), "north".to_owned(), true);
+    for (format, dense) in [(None, false), (Some(2), false), (Some(3), true)] {
+        let mut view = View::default();
+        if let Some(format) = format {
+            let written = put(FORMAT, &serde_json::json!({ "v": format }));
+            view.apply_own(&written, 7);
+        }
+        let record = job.record(view.done_tasks(scattered.clone()), JobStatus::Pending);
+        let text = serde_json::to_string(&record).expect("json");
+        assert_eq!(text.contains("\"d\":\"b0:"), dense, "{text}");
+        let block = BlockRecord {
+            kinds: vec![kind.clone()],
+            encoding: view.encoding(),
+            ..BlockRecord::default()
+        };
+        let text = serde_json::to_string(&block).expect("json");
+        assert_eq!(text.contains("\"c\":\"0.1s\""), dense, "{text}");
+        assert_eq!(text.contains("\"k\""), !dense, "{text}");
+        let again: BlockRecord = serde_json::from_str(&text).expect("read");
+        assert_eq!(again.kinds, block.kinds);
+    }
+}
--- a/src/view/waiting.rs
+++ b/src/view/waiting.rs
@@ -62,6 +62,10 @@
         let cancelled = record.status == JobStatus::Withdrawn;
         let before = self.waiting.jobs.get(&job).is_some_and(|w| w.withdrawn);
         let withdrawn = before || cancelled || predecessors.iter().any(|&p| self.is_withdrawn(p));
+        if self.dependencies.predecessors(job) != predecessors {
+            // An incomplete job has more of them now.
+            self.dependencies.remove(job);
+        }
         self.dependencies.insert(job, own, predecessors);
         let waiting = WaitingJob {
             stamp,
@@ -125,7 +129,8 @@
     /// Whether all jobs that a waiting job needs are finally done.
     pub fn is_ready(&self, job: JobIx) -> bool {
         let waits = self.waiting.jobs.get(&job);
-        waits.is_some_and(|w| !w.withdrawn) && self.open_predecessors(job).next().is_none()
+        waits.is_some_and(|w| !w.withdrawn && !w.record.incomplete)
+            && self.open_predecessors(job).next().is_none()
     }
 
     /// The jobs that a waiting job needs and that are not finally done.
@@ -157,10 +162,23 @@
         }
     }
 
-    /// A job's state as users see it; none if it stands under no watched key.
+    /// A job's state as users see it; none if it stands under no watched key, or is incomplete.
     pub fn status_of(&self, job: JobIx) -> Option<JobStatus> {
         let ordinary = self.jobs.get(&job).map(|j| j.status);
-        ordinary.or_else(|| self.waiting.jobs.get(&job).map(WaitingJob::status))
+        ordinary.or_else(|| self.accepted_waiting(job).map(WaitingJob::status))
+    }
+
+    /// A job that waits for others and was accepted.
+    pub fn accepted_waiting(&self, job: JobIx) -> Option<&WaitingJob> {
+        let waiting = self.waiting.jobs.get(&job);
+        waiting.filter(|w| !w.record.incomplete)
+    }
+
+    /// A job that waits for others and is not accepted yet.
+    pub fn incomplete_waiting(&self, name: &str) -> Option<&WaitingJob> {
+        let job = self.names.jobs.get(name)?;
+        let waiting = self.waiting.jobs.get(&job);
+        waiting.filter(|w| w.record.incomplete)
     }
 }
 
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -1,9 +1,10 @@
-//! What the version in production stores and sends is read, and what this version stores and sends
-//! is read by it.
+//! What earlier versions store and send is read, and what this version stores and sends is read by
+//! them for as long as they may be alive.
 //!
-//! The fixtures were written by the version in production: every kind of key at the richest value
-//! of a short day, and one message between controllers with every field in use. The shapes below
-//! are a copy of what that version reads.
+//! The fixtures were written by the versions themselves: every kind of key at the richest value of a
+//! short day, and one message between controllers. Those of format 0 are from the version before
+//! chained jobs (b96ac05), those of format 2 from the one that `production` names (11d1251). The shapes
+//! below are a copy of what the version before chained jobs reads.
 
 mod support;
 
@@ -16,8 +17,8 @@
 use std::collections::BTreeMap;
 use support::World;
 
-/// Values and messages as the version in production reads them.
-mod production {
+/// Values and messages as the version before chained jobs reads them.
+mod format_0 {
     use serde::Deserialize;
     use std::collections::BTreeMap;
 
@@ -142,43 +143,71 @@
     }
 }
 
-fn stored() -> BTreeMap<String, Value> {
-    serde_json::from_str(include_str!("fixtures/production_stored.json")).expect("json")
+fn stored(json: &str) -> BTreeMap<String, Value> {
+    serde_json::from_str(json).expect("json")
 }
 
-fn peer_news() -> Vec<u8> {
-    let hex = include_str!("fixtures/production_peer_news.hex").trim();
+fn peer_news(hex: &str) -> PeerNews {
+    let hex = hex.trim();
     let byte = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16).expect("hex");
-    (0..hex.len()).step_by(2).map(byte).collect()
+    let bytes: Vec<u8> = (0..hex.len()).step_by(2).map(byte).collect();
+    rmp_serde::from_slice(&bytes).expect("a message")
 }
 
-/// Whether a value reads as one of the production version's.
+/// A replica that has read these values.
+fn view_of(stored: &BTreeMap<String, Value>) -> View {
+    let items = stored.iter().enumerate().map(|(n, (k, v))| Item {
+        k: k.clone(),
+        v: Json::of(v),
+        stamp: n as u64 + 1,
+    });
+    let mut view = View::default();
+    view.load(items.collect(), 100);
+    view
+}
+
+/// What is read and written again says the same.
+fn assert_written_again(stored: &BTreeMap<String, Value>) {
+    for (key, value) in stored {
+        let again = match key.as_str() {
+            _ if key.starts_with("qb/block/") => read_again::<BlockRecord>(value),
+            _ if key.starts_with("qb/wait/") => read_again::<WaitingRecord>(value),
+            _ if key.starts_with("qb/job/") || key.starts_with("past/") => {
+                read_again::<JobRecord>(value)
+            }
+            _ => continue,
+        };
+        assert_eq!(&again, value, "{key}");
+    }
+}
+
+/// Whether a value reads as one of an earlier version's.
 fn reads<T: for<'de> Deserialize<'de>>(key: &str, value: &Value) {
     if let Err(e) = serde_json::from_value::<T>(value.clone()) {
         panic!("{key}: {e}: {value}");
     }
 }
 
-/// Reads a stored value as the version in production does; it passes over keys that it does not
+/// Reads a stored value as the version before chained jobs does; it passes over keys that it does not
 /// know.
-fn read_as_production(key: &str, value: &Value) {
+fn read_as_format_0(key: &str, value: &Value) {
     match key {
-        "qb/lead" => reads::<production::Owner>(key, value),
+        "qb/lead" => reads::<format_0::Owner>(key, value),
         "qb/catalog" => reads::<Vec<Frame>>(key, value),
-        _ if key.starts_with("qb/node/") => reads::<production::Node>(key, value),
-        _ if key.starts_with("qb/grant/") => reads::<production::Owner>(key, value),
-        _ if key.starts_with("qb/block/") => reads::<production::Block>(key, value),
-        _ if key.starts_with("qb/load/") => reads::<production::Load>(key, value),
+        _ if key.starts_with("qb/node/") => reads::<format_0::Node>(key, value),
+        _ if key.starts_with("qb/grant/") => reads::<format_0::Owner>(key, value),
+        _ if key.starts_with("qb/block/") => reads::<format_0::Block>(key, value),
+        _ if key.starts_with("qb/load/") => reads::<format_0::Load>(key, value),
         _ if key.starts_with("qb/job/") || key.starts_with("past/") => {
-            reads::<production::Job>(key, value);
+            reads::<format_0::Job>(key, value);
         }
         _ => {}
     }
 }
 
 #[test]
-fn every_value_that_production_stores_is_read_whole() {
-    let stored = stored();
+fn every_value_of_format_0_is_read_whole() {
+    let stored = stored(include_str!("fixtures/format_0_stored.json"));
     let mut kinds: Vec<&str> = stored
         .keys()
         .filter_map(|k| k.rsplit_once('/'))
@@ -189,13 +218,7 @@
         "past", "qb/block", "qb", "qb/grant", "qb/job", "qb", "qb/load", "qb/node",
     ];
     assert_eq!(kinds, expected, "a kind of key is missing");
-    let items = stored.iter().enumerate().map(|(n, (k, v))| Item {
-        k: k.clone(),
-        v: Json::of(v),
-        stamp: n as u64 + 1,
-    });
-    let mut view = View::default();
-    view.load(items.collect(), 100);
+    let view = view_of(&stored);
     assert!(view.lead.is_some());
     assert_eq!(view.catalog.as_ref().map(Vec::len), Some(2));
     assert_eq!(
@@ -229,17 +252,25 @@
     );
     let bound = view.bound_len(view.names.jobs.get("wk-000398").expect("known"));
     assert_eq!(bound, 5);
-    // What is read and written again says the same.
-    for (key, value) in &stored {
-        let again = match key.as_str() {
-            _ if key.starts_with("qb/block/") => read_again::<BlockRecord>(value),
-            _ if key.starts_with("qb/job/") || key.starts_with("past/") => {
-                read_again::<JobRecord>(value)
-            }
-            _ => continue,
-        };
-        assert_eq!(&again, value, "{key}");
-    }
+    assert_written_again(&stored);
+}
+
+#[test]
+fn every_value_of_format_2_is_read_whole() {
+    let stored = stored(include_str!("fixtures/format_2_stored.json"));
+    let view = view_of(&stored);
+    assert_eq!(view.format, 2);
+    assert_eq!(view.encoding(), Encoding::Compatible);
+    assert!(view.nodes.values().all(|n| n.format == 2));
+    let job = |name| view.names.jobs.get(name).expect("known");
+    // The fixture has each key at its richest value, so jobs that waited stand there twice.
+    let waiting = &view.waiting.jobs[&job("wk-000414")].record;
+    let needed = ["wk-000412", "wk-000413"];
+    assert_eq!(waiting.predecessors.names(), needed);
+    assert_eq!(view.status_of(job("wk-000415")), Some(JobStatus::Withdrawn));
+    assert_eq!(view.jobs[&job("wk-000413")].ready_ms, Some(10_008_100));
+    assert!(view.bound_len(job("wk-000398")) > 20);
+    assert_written_again(&stored);
 }
 
 fn read_again<T: for<'de> Deserialize<'de> + serde::Serialize>(value: &Value) -> Value {
@@ -248,8 +279,18 @@
 }
 
 #[test]
-fn every_field_of_productions_messages_is_read() {
-    let news: PeerNews = rmp_serde::from_slice(&peer_news()).expect("a message");
+fn every_field_of_a_message_of_format_2_is_read() {
+    let news = peer_news(include_str!("fixtures/format_2_peer_news.hex"));
+    assert_eq!(news.format, 2);
+    let fleet = news.fleet.expect("machines");
+    assert_eq!(fleet.machines.len(), 2);
+    assert!(!fleet.running.is_empty());
+    assert!(!fleet.done.is_empty(), "endings that are not recorded yet");
+}
+
+#[test]
+fn every_field_of_a_message_of_format_0_is_read() {
+    let news = peer_news(include_str!("fixtures/format_0_peer_news.hex"));
     assert_eq!((news.host.as_str(), news.boot, news.format), ("n1", 77, 0));
     assert!(news.state_ok && !news.short);
     let fleet = news.fleet.expect("machines");
@@ -269,7 +310,7 @@
 }
 
 #[test]
-fn what_this_version_stores_and_sends_is_read_by_production() {
+fn what_this_version_stores_and_sends_is_read_by_the_version_before_chained_jobs() {
     let mut w = World::settled(1, 3, 6);
     w.run_ms = 3000;
     let first = w.submit(1, w.spec(9));
@@ -287,12 +328,12 @@
         for prefix in ["qb/", "past/"] {
             for item in w.state.list(prefix).0 {
                 let value: Value = item.v.read().expect("json");
-                read_as_production(&item.k, &value);
-                // A job that waits is nowhere where production would bind it.
+                read_as_format_0(&item.k, &value);
+                // A job that waits is nowhere where that version would bind it.
                 waited |= item.k.starts_with("qb/wait/");
                 let passed_over = ["qb/wait/", "qb/format"];
                 if passed_over.iter().any(|p| item.k.starts_with(p)) {
-                    assert!(!production::READ.iter().any(|p| item.k.starts_with(p)));
+                    assert!(!format_0::READ.iter().any(|p| item.k.starts_with(p)));
                 }
             }
         }
@@ -301,7 +342,7 @@
             let node = w.nodes[i].as_mut().expect("alive");
             let news = node.core.peer_news(true, clock);
             let body = rmp_serde::to_vec_named(&news).expect("written");
-            rmp_serde::from_slice::<production::PeerNews>(&body).expect("read by production");
+            rmp_serde::from_slice::<format_0::PeerNews>(&body).expect("read by that version");
         }
     }
     assert!(waited && w.is_done(&third), "all kinds of keys were there");
@@ -309,12 +350,12 @@
 }
 
 #[test]
-fn a_job_that_was_ready_is_an_ordinary_one_without_what_production_drops() {
-    // Production writes a job's value again without fields that it does not know.
+fn a_job_that_was_ready_is_an_ordinary_one_without_what_an_earlier_version_drops() {
+    // It writes a job's value again without fields that it does not know.
     let mut record = quillbend::jobs::new_record(World::settled(2, 3, 1).spec(2), 5000);
     record.ready_ms = Some(9000);
     let mut value = serde_json::to_value(&record).expect("json");
-    reads::<production::Job>("qb/job/wk-000001", &value);
+    reads::<format_0::Job>("qb/job/wk-000001", &value);
     value.as_object_mut().expect("an object").remove("r");
     let read: JobRecord = serde_json::from_value(value).expect("read");
     assert_eq!((read.ready_ms, read.submitted_ms), (None, 5000));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -28,7 +28,7 @@
     w.until(60_000, "the job is done", |w| w.is_done(&job));
     w.assert_kept();
     assert_eq!(w.starts.len(), 20, "every task started once");
-    assert_eq!(w.job(&job).map(|j| j.done.len()), Some(20));
+    assert_eq!(w.job(&job).map(|j| j.done.tasks.len()), Some(20));
     w.run(10_000);
     assert!(
         w.workers.iter().all(|m| m.tasks.is_empty()),
--- a/tests/support/controllers.rs
+++ b/tests/support/controllers.rs
@@ -39,7 +39,7 @@
             .collect();
         let mut core = Core::new(s, self.rng.random());
         if self.old[i] {
-            core.run_as_format(0);
+            core.run_as_format(self.old_format);
         }
         let node = Node {
             core,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -112,6 +112,8 @@
     pub old_settings: Settings,
     /// Controllers that come up in the version before.
     pub old: Vec<bool>,
+    /// The format of stored values that this version reads.
+    pub old_format: u32,
     /// The jobs that each job named when it was submitted.
     awaits: BTreeMap<String, Vec<String>>,
     /// Of each report copies arrive this many ms later, at any controller.
@@ -197,6 +199,7 @@
             settings,
             old_settings,
             old: vec![old; nodes],
+            old_format: 0,
             awaits: BTreeMap::new(),
             copies: Vec::new(),
             peer_copies: Vec::new(),
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -111,11 +111,16 @@
         if let Some(node) = &mut self.nodes[i] {
             node.core.view.apply_own(&txn, ledger);
         }
-        self.specs.insert(name.clone(), kept);
-        self.awaits.insert(name.clone(), awaits.to_vec());
+        self.note_submission(&name, kept, awaits);
         Some(name)
     }
 
+    /// From now on the rules are checked for a job that names others.
+    pub fn note_submission(&mut self, name: &str, spec: JobSpec, awaits: &[String]) {
+        self.specs.insert(name.to_owned(), spec);
+        self.awaits.insert(name.to_owned(), awaits.to_vec());
+    }
+
     /// Submits a job that names others through any controller that takes it.
     pub fn chain(&mut self, n: u32, spec: JobSpec, awaits: &[&String]) -> String {
         let awaits: Vec<String> = awaits.iter().map(|a| (*a).clone()).collect();
@@ -226,7 +231,7 @@
 
     /// Tasks done, as the job's key and all blocks together show them.
     pub fn done(&self, name: &str) -> u32 {
-        let mut done = self.job(name).map(|j| j.done).unwrap_or_default();
+        let mut done = self.job(name).map(|j| j.done.tasks).unwrap_or_default();
         for item in self.state.list("qb/block/").0 {
             let block: BlockRecord = item.v.read().expect("a block");
             for (job, tasks) in &block.done {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -5,8 +5,9 @@
 mod support;
 
 use quillbend::core::Outcome;
+use quillbend::records::{CHAINS_FORMAT, CURRENT_FORMAT, DENSE_FORMAT};
 use quillbend::view::{FORMAT, job_key, past_key};
-use quillbend::wire::{JobStatus, Urgency};
+use quillbend::wire::{Item, JobStatus, Urgency};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use support::{Mood, World};
@@ -200,6 +201,121 @@
     w.assert_kept();
 }
 
+/// Two controllers of this version, one of which leads, and one that reads format 2 as the latest; a
+/// job of 900 small tasks, and machines with room for half of them.
+fn large_job_beside_an_older_version(format_most: f64) -> (World, String) {
+    let mut w = World::in_production(9, 3, 30);
+    w.settings.options.format_most = format_most;
+    w.old_format = CHAINS_FORMAT;
+    w.old = vec![false, false, true];
+    w.crash(2);
+    (0..2).for_each(|i| w.start(i));
+    w.until(20_000, "a leader", |w| w.leader().is_some());
+    w.start(2);
+    w.until(20_000, "chained jobs are recorded", |w| {
+        w.state.value(FORMAT).is_some()
+    });
+    w.cloud_up = false;
+    w.run_ms = 20_000;
+    let mut spec = w.spec(900);
+    (spec.crew, spec.vcpus, spec.ram_gb, spec.ride_s) = ("guest".into(), 0.25, 0.1, 20.0);
+    let job = w.submit(1, spec);
+    w.run(10_000);
+    (w, job)
+}
+
+/// Blocks that have machines.
+fn used_blocks(w: &World) -> usize {
+    let blocks = w.state.list("qb/block/").0;
+    let machines = |b: &Item| w.block(&b.k).machines.len();
+    blocks.iter().filter(|b| machines(b) > 0).count()
+}
+
+#[test]
+fn small_blocks_are_merged_and_what_runs_on_their_machines_runs_on() {
+    let mut w = in_production(12, 3, 130);
+    w.cloud_up = false;
+    w.run_ms = 90_000;
+    let mut spec = w.spec(200);
+    spec.crew = "guest".into();
+    let job = w.submit(1, spec);
+    w.until(30_000, "all run", |w| w.running() == 200);
+    let before = used_blocks(&w);
+    assert!(before > 9, "{before}");
+    for i in 0..3 {
+        upgrade(&mut w, i, 500);
+        w.run(2000);
+    }
+    // As many as can be written twice a second are no burden.
+    w.until(40_000, "blocks are merged", |w| used_blocks(w) <= 9);
+    assert_eq!(w.running(), 200, "what ran was lost");
+    // The machines obey the tokens of the blocks that they are in now.
+    w.run(5000);
+    let late = w.submit(2, w.spec(16));
+    w.until(30_000, "new work begins", |w| w.starts_of(&late) == 16);
+    w.all_end_well(&[job, late]);
+    assert_eq!(w.starts.len(), 216, "begun twice");
+    assert_eq!(w.state.too_large, 0);
+}
+
+/// Most tasks of a large job that run at once within a while.
+fn most_running(w: &mut World) -> usize {
+    let mut most = 0;
+    for _ in 0..200 {
+        w.run(100);
+        most = most.max(w.running());
+    }
+    most
+}
+
+/// Whether a job's done tasks are stored as a bitmap.
+fn is_bitmap(w: &World, job: &str) -> bool {
+    let value = w.state.value(&job_key(job));
+    value.is_some_and(|v| v["d"].as_str().is_some_and(|d| d.starts_with('b')))
+}
+
+#[test]
+fn a_large_job_uses_the_whole_fleet_once_every_controller_reads_bitmaps() {
+    let (mut w, job) = large_job_beside_an_older_version(3.0);
+    // Ranges in the values to come have room for no more.
+    let few = most_running(&mut w);
+    assert!((100..160).contains(&few), "{few}");
+    assert!(!is_bitmap(&w, &job));
+    upgrade(&mut w, 2, 500);
+    lower_limits(&mut w);
+    w.until(20_000, "bitmaps are recorded", |w| {
+        w.state
+            .value(FORMAT)
+            .is_some_and(|f| f["v"] == DENSE_FORMAT)
+    });
+    let many = most_running(&mut w);
+    assert!(many > 2 * few, "{many}");
+    w.until(200_000, "done", |w| w.is_done(&job));
+    assert_eq!(w.state.too_large, 0);
+    w.assert_kept();
+}
+
+#[test]
+fn operators_can_hold_the_format_back_and_go_back_to_the_version_before() {
+    let (mut w, job) = large_job_beside_an_older_version(2.0);
+    upgrade(&mut w, 2, 500);
+    let few = most_running(&mut w);
+    assert!((100..160).contains(&few), "{few}");
+    assert!(
+        w.state
+            .value(FORMAT)
+            .is_some_and(|f| f["v"] == CHAINS_FORMAT)
+    );
+    for i in 0..3 {
+        w.crash(i);
+        w.old[i] = true;
+        w.start(i);
+        w.run(3000);
+        assert!(!is_bitmap(&w, &job));
+    }
+    w.all_end_well(&[job]);
+}
+
 #[test]
 fn jobs_whose_values_are_larger_than_the_new_limit_end_and_are_cancelled() {
     for cancelled in [false, true] {
@@ -287,6 +403,12 @@
     for seed in 20..28 {
         let nodes = [3, 5][seed as usize % 2];
         let mut w = in_production(seed, nodes, 10);
+        if seed % 4 < 2 {
+            // The older version is the one that knows chained jobs already.
+            w.old_format = CHAINS_FORMAT;
+            (0..nodes).for_each(|i| w.start(i));
+            w.run(3000);
+        }
         let mut luck = SmallRng::seed_from_u64(seed);
         w.run_ms = 6000;
         let mut jobs: Vec<String> = Vec::new();
@@ -353,3 +475,42 @@
         w.assert_kept();
     }
 }
+
+#[test]
+fn a_version_that_is_too_old_for_what_is_stored_does_nothing_and_says_so() {
+    let mut w = World::settled(13, 3, 4);
+    w.run_ms = 3000;
+    let before = w.submit(1, w.spec(2));
+    w.until(20_000, "done", |w| w.is_done(&before));
+    let newer = serde_json::json!({ "v": CURRENT_FORMAT + 1 });
+    w.state.overwrite(FORMAT, &newer);
+    w.run(500);
+    let writes = w.state.writes;
+    let job = w.submit(2, w.spec(2));
+    w.run(30_000);
+    assert_eq!(w.starts_of(&job), 0);
+    assert_eq!(w.state.writes, writes + 1, "it wrote something");
+    for i in 0..3 {
+        let now = w.clock(i);
+        assert!(!w.core(i).ready(now) && !w.core(i).has_authority(now));
+        assert_eq!(w.core(i).status_page(now)["outdated"], true);
+    }
+    assert_eq!(w.state.value(FORMAT), Some(newer));
+}
+
+#[test]
+fn a_value_that_cannot_be_read_is_left_alone_and_shown() {
+    let mut w = World::settled(14, 3, 4);
+    w.run_ms = 3000;
+    let odd = w.submit(1, w.spec(2));
+    let other = w.submit(2, w.spec(2));
+    let unknown = serde_json::json!({ "s": "of a later version", "st": "pending" });
+    w.state.overwrite(&job_key(&odd), &unknown);
+    w.until(20_000, "the others go on", |w| w.is_done(&other));
+    w.run(60_000);
+    assert_eq!(w.state.value(&job_key(&odd)), Some(unknown));
+    let core = w.core(0);
+    assert!(core.view.is_unreadable(&odd) && !core.view.is_unreadable(&other));
+    let page = core.status_page(w.clock(0));
+    assert_eq!(page["unreadable"], serde_json::json!([job_key(&odd)]));
+}
