A submission may name more unfinished jobs than one transaction has conditions for

Change: such a job is accepted in several conditional writes of its key (jobs/gradual), each of which holds on to more predecessors; until the last one it is incomplete, unknown to users and never ready; what its user gave up is dropped. Measured: stories of lost, late and repeated writes, a cancellation in between, one given up; loopback with 46 names.

--- a/src/api/submission.rs
+++ b/src/api/submission.rs
@@ -1,10 +1,12 @@
 //! Submissions: ordinary jobs, and jobs that name others which have to be done first.
 
 use super::{Door, READ_WAIT, WRITE_WAIT, later, refuse, state_trouble, unavailable};
+use crate::core::Core;
 use crate::core::Outcome;
-use crate::jobs::chained::{Acceptance, Predecessor, plan_acceptance};
+use crate::jobs::chained::{Acceptance, ChainError, Predecessor, plan_acceptance};
+use crate::jobs::gradual::{Step, Stored, plan_step};
 use crate::jobs::{self, Read};
-use crate::records::JobRecord;
+use crate::records::{Encoding, JobRecord};
 use crate::state::StateError;
 use crate::wire::{JobAnswer, JobStatus, Submission, Txn};
 use actix_web::HttpResponse;
@@ -26,6 +28,68 @@
     awaits: Vec<String>,
 }
 
+/// The next write of a submission that names other jobs.
+enum Plan {
+    /// The job is accepted with it, in this state.
+    Accept(Txn, JobStatus),
+    /// The job waits and is accepted with it.
+    Wait(Txn),
+    /// More writes follow.
+    Continue(Txn),
+}
+
+impl Plan {
+    fn txn(&self) -> &Txn {
+        match self {
+            Self::Accept(txn, _) | Self::Wait(txn) | Self::Continue(txn) => txn,
+        }
+    }
+}
+
+impl From<Acceptance> for Plan {
+    fn from(acceptance: Acceptance) -> Self {
+        match acceptance {
+            Acceptance::Waiting(txn) => Self::Wait(txn),
+            Acceptance::Ordinary(txn) => Self::Accept(txn, JobStatus::Pending),
+            Acceptance::Withdrawn(txn) => Self::Accept(txn, JobStatus::Withdrawn),
+        }
+    }
+}
+
+impl From<Step> for Plan {
+    fn from(step: Step) -> Self {
+        match step {
+            Step::Incomplete(txn) => Self::Continue(txn),
+            Step::Complete(txn) => Self::Wait(txn),
+            Step::Withdrawn(txn) => Self::Accept(txn, JobStatus::Withdrawn),
+        }
+    }
+}
+
+impl NewJob {
+    /// Plans the next write: the whole acceptance in one, or, where one transaction has too few
+    /// conditions for all unfinished jobs that it names, a step of a gradual one.
+    fn plan(&self, named: Vec<(String, Predecessor)>, core: &Core) -> Result<Plan, ChainError> {
+        let step = |stored: Option<Stored>, named: &[(String, Predecessor)]| {
+            plan_step(&self.name, &self.record, named, stored, &core.settings).map(Plan::from)
+        };
+        if let Some(begun) = core.view.incomplete_waiting(&self.name) {
+            let stored = Stored {
+                record: &begun.record,
+                stamp: begun.stamp,
+            };
+            return step(Some(stored), &named);
+        }
+        let record = self.record.clone();
+        match plan_acceptance(&self.name, record, named.clone(), &core.settings) {
+            Err(ChainError::TooMany { .. }) if core.view.encoding() == Encoding::Dense => {
+                step(None, &named)
+            }
+            planned => planned.map(Plan::from),
+        }
+    }
+}
+
 impl Door {
     /// Takes a submission.
     pub(super) async fn submit(&self, body: &[u8]) -> HttpResponse {
@@ -99,43 +163,48 @@
     /// and whatever changes in between fails the conditions of the transaction.
     async fn submit_chained(&self, job: NewJob) -> HttpResponse {
         let until = Instant::now() + CHAIN_WAIT;
-        for _ in 0..CHAIN_TRIES {
+        let mut tries = 0;
+        while tries < CHAIN_TRIES && Instant::now() < until {
             let named = match self.predecessors(&job.awaits, until).await {
                 Ok(named) => named,
                 Err(e) => return state_trouble(&e),
             };
             let (planned, open) = {
                 let core = self.shared.core.lock();
-                let record = job.record.clone();
-                let planned = plan_acceptance(&job.name, record, named, &core.settings);
+                let planned = job.plan(named, &core);
                 (planned, core.accepts_waiting(self.shared.now()))
             };
-            let acceptance = match planned {
-                Ok(acceptance) => acceptance,
+            let plan = match planned {
+                Ok(plan) => plan,
                 Err(why) => {
                     let refusal = refuse(StatusCode::UNPROCESSABLE_ENTITY, &why.to_string());
                     return self.known_or(&job.name, refusal).await;
                 }
             };
-            if matches!(acceptance, Acceptance::Waiting(_)) && !open {
+            if matches!(plan, Plan::Wait(_)) && !open {
                 let refusal = unavailable("a controller still runs an older version");
                 return self.known_or(&job.name, refusal).await;
             }
-            let status = acceptance.status();
-            match self.commit_new(acceptance.txn()).await {
-                Outcome::Done(ledger) => {
-                    return self.accepted(job, acceptance.txn(), status, ledger);
+            match (self.commit_new(plan.txn()).await, &plan) {
+                (Outcome::Done(ledger), Plan::Continue(txn)) => {
+                    self.shared.core.lock().view.apply_own(txn, ledger);
+                }
+                (Outcome::Done(ledger), Plan::Wait(txn)) => {
+                    return self.accepted(job, txn, JobStatus::Pending, ledger);
+                }
+                (Outcome::Done(ledger), Plan::Accept(txn, status)) => {
+                    return self.accepted(job, txn, *status, ledger);
                 }
                 // Either the job is known, or one that it names has changed.
-                Outcome::Conflict(_) => match self.look_up(&job.name).await {
+                (Outcome::Conflict(_), _) => match self.look_up(&job.name).await {
                     Ok(Some(f)) => {
                         let answer = self.answer(&job.name, f.status, f.done);
                         return HttpResponse::Ok().json(answer);
                     }
-                    Ok(None) => {}
+                    Ok(None) => tries += 1,
                     Err(e) => return state_trouble(&e),
                 },
-                failed => return not_accepted(failed),
+                (failed, _) => return not_accepted(failed),
             }
         }
         unavailable("the jobs that it names keep changing")
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -8,6 +8,7 @@
 use std::collections::{HashMap, VecDeque};
 
 pub mod chained;
+pub mod gradual;
 
 /// Longest name of a job, and of anything else that a user names.
 const LONGEST_NAME: usize = 120;
--- /dev/null
+++ b/src/jobs/gradual.rs
@@ -0,0 +1,108 @@
+//! Submissions that name more unfinished jobs than one transaction has conditions for. Pure.
+//!
+//! The value of the waiting job is written several times. Each write adds predecessors and holds on to
+//! them by conditions on their keys, and none of them is archived from then on, so every replica that
+//! shows the value shows all predecessors in it. Until the last write the job is *incomplete*: its user
+//! has not been told that it is accepted, nobody knows it, and it never becomes ready. One that its user
+//! has given up is dropped by the leader.
+
+use super::chained::{ChainError, GUARDS_PER_CHANGE, Predecessor, absent, new_waiting_record};
+use crate::core::put;
+use crate::records::{JobRecord, NameList, WaitingRecord};
+use crate::settings::Settings;
+use crate::view::{past_key, waiting_key};
+use crate::wire::{Change, Guard, JobStatus, Txn};
+
+/// An incomplete job as it is stored.
+#[derive(Debug, Clone, Copy)]
+pub struct Stored<'a> {
+    /// Its value.
+    pub record: &'a WaitingRecord,
+    /// The revision of its key.
+    pub stamp: u64,
+}
+
+/// The next write of a gradual acceptance.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// More predecessors follow.
+    Incomplete(Txn),
+    /// With it the job is accepted.
+    Complete(Txn),
+    /// A predecessor was cancelled: with it the job is accepted and cancelled.
+    Withdrawn(Txn),
+}
+
+/// Plans the next write that accepts a job which names others, all of them accepted.
+pub fn plan_step(
+    name: &str,
+    record: &JobRecord,
+    named: &[(String, Predecessor)],
+    stored: Option<Stored>,
+    settings: &Settings,
+) -> Result<Step, ChainError> {
+    if let Some((unknown, _)) = named.iter().find(|n| n.1 == Predecessor::Unwatched) {
+        return Err(ChainError::NeverAccepted(unknown.clone()));
+    }
+    if named.iter().any(|n| n.1 == Predecessor::Withdrawn) {
+        return Ok(Step::Withdrawn(withdrawn(name, record, stored)));
+    }
+    let held = stored.map_or(&[][..], |s| s.record.predecessors.names());
+    let mut missing = named.iter().filter_map(|(name, state)| match state {
+        Predecessor::Open(guard) if !held.contains(name) => Some((name.clone(), guard.clone())),
+        _ => None,
+    });
+    let mut guards = own_guards(name, stored);
+    let most = settings.platform.settings.state.txn_ops * GUARDS_PER_CHANGE;
+    let mut predecessors = held.to_vec();
+    for (predecessor, guard) in missing.by_ref().take(most.saturating_sub(guards.len())) {
+        predecessors.push(predecessor);
+        guards.push(guard);
+    }
+    let found = predecessors.len();
+    let rest = missing.count();
+    let first = new_waiting_record(record.clone(), NameList::default());
+    let record = WaitingRecord {
+        predecessors: NameList::from_iter(predecessors),
+        incomplete: rest > 0,
+        ..stored.map_or(first, |s| s.record.clone())
+    };
+    let change = put(&waiting_key(name), &record, None);
+    if change.value_bytes() > settings.value_bytes() {
+        let found = found + rest;
+        return Err(ChainError::TooLong { found });
+    }
+    let then = vec![change];
+    let txn = Txn { guards, then };
+    Ok(match rest {
+        0 => Step::Complete(txn),
+        _ => Step::Incomplete(txn),
+    })
+}
+
+/// Conditions that the job is as it was read: absent, or incomplete at a revision.
+fn own_guards(name: &str, stored: Option<Stored>) -> Vec<Guard> {
+    let Some(stored) = stored else {
+        return absent(name);
+    };
+    let (k, stamp) = (waiting_key(name), stored.stamp);
+    vec![Guard { k, stamp }]
+}
+
+/// The transaction that accepts a job which is cancelled already, and drops what was stored of it.
+fn withdrawn(name: &str, record: &JobRecord, stored: Option<Stored>) -> Txn {
+    let record = JobRecord {
+        status: JobStatus::Withdrawn,
+        ..record.clone()
+    };
+    let mut then = vec![put(&past_key(name), &record, None)];
+    if stored.is_some() {
+        let drop = waiting_key(name);
+        then.push(Change::Drop { drop });
+    }
+    let guards = own_guards(name, stored);
+    Txn { guards, then }
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -4,11 +4,14 @@
 mod support;
 
 use quillbend::core::Outcome;
-use quillbend::view::{job_key, past_key};
+use quillbend::jobs::chained::Predecessor;
+use quillbend::jobs::gradual::{Step, Stored, plan_step};
+use quillbend::jobs::new_record;
+use quillbend::view::{job_key, past_key, waiting_key};
 use quillbend::wire::{JobSpec, JobStatus, Urgency};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use support::{Mood, World};
+use support::{Mood, PLATFORM, World};
 
 /// A chain of so many jobs of two tasks each, numbered from `n`; the first waits for nothing.
 fn chain_of(w: &mut World, n: u32, jobs: u32) -> Vec<String> {
@@ -444,3 +447,116 @@
         w.assert_kept();
     }
 }
+
+/// The next write by which controller 0 accepts a job that names these; what was written before is
+/// known to it.
+fn next_step(w: &World, name: &str, spec: &JobSpec, awaits: &[String]) -> Step {
+    let view = &w.core(0).view;
+    let archived = |name: &str| match w.job(name).map(|j| j.status) {
+        Some(JobStatus::Done) => Predecessor::Done,
+        Some(JobStatus::Withdrawn) => Predecessor::Withdrawn,
+        _ => Predecessor::Unwatched,
+    };
+    let known = |name: &String| match view.predecessor(name) {
+        Predecessor::Unwatched => archived(name),
+        shown => shown,
+    };
+    let named: Vec<_> = awaits.iter().map(|a| (a.clone(), known(a))).collect();
+    let stored = view.incomplete_waiting(name).map(|waiting| Stored {
+        record: &waiting.record,
+        stamp: waiting.stamp,
+    });
+    let record = new_record(spec.clone(), w.now);
+    plan_step(name, &record, &named, stored, &w.settings).expect("planned")
+}
+
+/// Twenty jobs that run, and the first write of a job that names them all, carried out.
+fn begun_gradually(seed: u64) -> (World, Vec<String>, Step) {
+    let few = PLATFORM.replace("txn_ops = 12", "txn_ops = 4");
+    let mut w = World::with_platform(seed, 3, 6, &few);
+    w.run(8000);
+    w.run_ms = 20_000;
+    let awaits: Vec<String> = (1..=20).map(|n| w.submit(n, w.spec(1))).collect();
+    w.run(3000);
+    w.note_submission("wk-000099", w.spec(1), &awaits);
+    let step = next_step(&w, "wk-000099", &w.spec(1), &awaits);
+    let Step::Incomplete(txn) = &step else {
+        panic!("{step:?}")
+    };
+    assert!(matches!(w.state.commit(txn), Outcome::Done(_)));
+    w.run(1000);
+    (w, awaits, step)
+}
+
+#[test]
+fn a_job_that_names_more_than_a_transaction_can_hold_is_accepted_in_several_writes() {
+    let (mut w, awaits, first) = begun_gradually(32);
+    let job = "wk-000099".to_owned();
+    for i in 0..3 {
+        assert_eq!(w.ask(i, &job), None, "nobody was told that it is accepted");
+    }
+    // A predecessor that is held is done, and one that is not; a controller ends.
+    w.until(40_000, "some are done", |w| {
+        w.is_done(&awaits[0]) && w.is_done(&awaits[19])
+    });
+    w.crash(1);
+    w.run(500);
+    w.start(1);
+    w.run(8000);
+    assert_eq!(w.starts_of(&job), 0, "it is incomplete");
+    let last = next_step(&w, &job, &w.spec(1), &awaits);
+    let Step::Complete(txn) = last else {
+        panic!("{last:?}")
+    };
+    // The first write arrives late once more.
+    let Step::Incomplete(first) = first else {
+        panic!("{first:?}")
+    };
+    assert!(matches!(w.state.commit(&first), Outcome::Conflict(_)));
+    assert!(matches!(w.state.commit(&txn), Outcome::Done(_)));
+    w.run(500);
+    assert_eq!(w.ask(0, &job), Some(JobStatus::Pending));
+    w.until(120_000, "all that it names is done", |w| {
+        awaits.iter().all(|a| w.is_done(a))
+    });
+    w.until(60_000, "it is done", |w| w.done(&job) == 1);
+    w.assert_kept();
+}
+
+#[test]
+fn an_incomplete_job_that_its_user_gave_up_is_dropped_and_holds_nothing_up() {
+    let (mut w, awaits, first) = begun_gradually(33);
+    w.until(200_000, "all are done", |w| {
+        awaits.iter().all(|a| w.is_done(a))
+    });
+    let key = waiting_key("wk-000099");
+    assert!(w.state.value(&key).is_some());
+    w.until(200_000, "it is dropped", |w| w.state.value(&key).is_none());
+    let archived = |w: &World, j: &String| w.state.value(&past_key(j)).is_some();
+    w.until(200_000, "what it named is archived", |w| {
+        awaits.iter().all(|j| archived(w, j))
+    });
+    let Step::Incomplete(first) = first else {
+        panic!("{first:?}")
+    };
+    assert!(matches!(w.state.commit(&first), Outcome::Conflict(_)));
+    assert_eq!(w.starts_of("wk-000099"), 0);
+    w.assert_kept();
+}
+
+#[test]
+fn a_cancellation_between_two_writes_of_an_acceptance_cancels_the_job() {
+    let (mut w, awaits, _) = begun_gradually(34);
+    let job = "wk-000099".to_owned();
+    assert!(matches!(w.cancel(&awaits[3]), Outcome::Done(_)));
+    w.run(500);
+    let step = next_step(&w, &job, &w.spec(1), &awaits);
+    let Step::Withdrawn(txn) = step else {
+        panic!("{step:?}")
+    };
+    assert!(matches!(w.state.commit(&txn), Outcome::Done(_)));
+    assert_eq!(w.job(&job).map(|j| j.status), Some(JobStatus::Withdrawn));
+    assert!(w.state.value(&waiting_key(&job)).is_none());
+    w.run(5000);
+    assert_eq!(w.starts_of(&job), 0);
+}
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -139,6 +139,25 @@
         let status = answer.1["status"].clone();
         assert_eq!((answer.0, status), expected, "{name} {awaits}");
     }
+    // More unfinished jobs than one transaction has conditions for: it is accepted in several writes.
+    let mut many = Vec::new();
+    for n in 300..346 {
+        let name = format!("wk-{n:06}");
+        let answer = submit(&name, json!(["wk-000101"])).await;
+        assert_eq!(answer.map(|a| a.0), Some(201), "{name}");
+        many.push(name);
+    }
+    for (awaits, expected) in [
+        (json!(many), 201),
+        (json!(many), 200),
+        (json!(["wk-000999"]), 200),
+    ] {
+        let answer = submit("wk-000400", awaits).await.expect("answered");
+        assert_eq!(
+            (answer.0, &answer.1["status"]),
+            (expected, &json!("pending"))
+        );
+    }
     let state = |name: &str| call_owned("GET", format!("{jobs}/{name}"), None);
     let cancel = |name: &str| call_owned("POST", format!("{jobs}/{name}/cancel"), None);
     for name in ["wk-000203", "wk-000204", "wk-000205"] {
@@ -151,7 +170,7 @@
     }
     let answer = cancel("wk-000101").await.expect("answered");
     assert_eq!((answer.0, &answer.1["status"]), (200, &json!("withdrawn")));
-    for name in ["wk-000204", "wk-000205"] {
+    for name in ["wk-000204", "wk-000205", "wk-000400"] {
         let answer = state(name).await.expect("answered");
         assert_eq!(
             (answer.0, &answer.1["status"]),
