--- a/benches/costs.rs
+++ b/benches/costs.rs
@@ -73,7 +73,7 @@
         let now = Ms(w.now);
         let leader = w.leader().unwrap_or(0);
         for at in (0..w.workers.len()).step_by(machines / 50) {
-            w.workers[at].tally += 1;
+            w.workers[at].sequence += 1;
             let r = w.workers[at].report();
             let Some(holder) = w.holder(&r.rig) else {
                 continue;
--- a/src/api.rs
+++ b/src/api.rs
@@ -272,7 +272,7 @@
     async fn take_report(&self, report: Report) -> Reply {
         let now = self.shared.now();
         // Only what shows no token yet may have to be taken in once more.
-        let kept = (report.baton == NO_TOKEN).then(|| report.clone());
+        let kept = (report.token == NO_TOKEN).then(|| report.clone());
         let reply = self.shared.core.lock().on_report(report, now);
         let (Reply::Unconfirmed, Some(report)) = (&reply, kept) else {
             return reply;
@@ -327,7 +327,7 @@
         Ok(r) => r,
         Err(e) => return refuse(StatusCode::BAD_REQUEST, &e.to_string()),
     };
-    let (rig, number) = (report.rig.clone(), (report.shift, report.tally));
+    let (rig, number) = (report.rig.clone(), (report.session, report.sequence));
     let mut reply = door.take_report(report).await;
     let patience = match &reply {
         Reply::Orders(o) if o.orders.is_empty() => {
--- a/src/api/submission.rs
+++ b/src/api/submission.rs
@@ -111,7 +111,7 @@
         if let Some(why) = self.never_runs(&job) {
             tracing::debug!(
                 job = job.name,
-                class = job.record.spec.route,
+                class = job.record.spec.class,
                 why,
                 "refused"
             );
@@ -272,10 +272,10 @@
         let spec = &job.record.spec;
         tracing::debug!(
             job = job.name,
-            class = spec.route,
-            team = spec.crew,
+            class = spec.class,
+            team = spec.team,
             tasks = spec.legs,
-            run_s = spec.ride_s,
+            run_s = spec.estimate_s,
             due_s = spec.due_s,
             awaits = job.awaits.len(),
             ?status,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -411,7 +411,7 @@
     /// Expected seconds of a task, the owners' estimates corrected by what was observed.
     pub(crate) fn run_s(&self, job: &Job) -> f64 {
         let ratio = self.ratios.get(&job.class).copied().unwrap_or(1.0);
-        (job.spec.ride_s * ratio).max(0.5)
+        (job.spec.estimate_s * ratio).max(0.5)
     }
 
     /// Seconds of work per CPU in a machine's queue, started tasks counted with what is left.
@@ -436,7 +436,7 @@
                     }
                     None => run,
                 };
-                Some(left * job.spec.vcpus)
+                Some(left * job.spec.cpus)
             })
             .sum();
         work / size.cpus.max(1e-6)
@@ -445,7 +445,7 @@
     /// The cloud's catalog arrived.
     pub fn on_catalog(&mut self, catalog: crate::wire::Catalog) {
         for f in catalog.frames {
-            for y in &f.yards {
+            for y in &f.zones {
                 self.view.names.zones.intern(y);
             }
             let ix = self.view.names.frames.intern(&f.label);
@@ -565,8 +565,8 @@
         room: job.room(),
         frames: job.frames.clone(),
         zone: job.zone,
-        spot: s.loaners,
-        same_place: s.same_place,
+        spot: s.spot,
+        one_zone: s.one_zone,
         zone_most: s.spread.then(|| s.legs.div_ceil(2)),
     }
 }
--- a/src/core/peers.rs
+++ b/src/core/peers.rs
@@ -318,8 +318,8 @@
             .map(|(rig, s)| Stray {
                 rig: rig.clone(),
                 frame: s.frame.clone(),
-                yard: s.yard.clone(),
-                loaners: s.loaners,
+                zone: s.zone.clone(),
+                spot: s.spot,
                 for_ms: s.last.since(s.first),
             })
             .collect()
--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -28,13 +28,13 @@
 /// Whether a report without our token comes from a worker that has begun anew: it is not the
 /// first one, and the numbers rise as time goes on.
 fn begins_anew(runtime: &mut MachineRuntime, r: &Report, now: Ms) -> bool {
-    let number = (r.shift, r.tally);
+    let number = (r.session, r.sequence);
     match runtime.low {
-        Some((shift, tally, at)) if number > (shift, tally) && now.since(at) < 30_000 => {
+        Some((session, sequence, at)) if number > (session, sequence) && now.since(at) < 30_000 => {
             now.since(at) >= 400
         }
         _ => {
-            runtime.low = Some((r.shift, r.tally, now));
+            runtime.low = Some((r.session, r.sequence, now));
             false
         }
     }
@@ -55,17 +55,17 @@
             newest: (0, 0),
             token,
             frame: r.frame.clone(),
-            yard: r.yard.clone(),
-            loaners: r.loaners,
+            zone: r.zone.clone(),
+            spot: r.spot,
         };
         if self.strays.len() > 2000 {
             return;
         }
         let s = self.strays.entry(r.rig.clone()).or_insert(fresh);
-        if (r.shift, r.tally) <= s.newest && now.since(s.last) < 60_000 {
+        if (r.session, r.sequence) <= s.newest && now.since(s.last) < 60_000 {
             return;
         }
-        s.newest = (r.shift, r.tally);
+        s.newest = (r.session, r.sequence);
         if now.since(s.last) > 7000 || s.token != token {
             s.first = now;
             s.token = token;
@@ -115,7 +115,7 @@
         if !self.holds(&grant) {
             return Reply::Unavailable;
         }
-        if !self.has_authority(now) || r.baton > grant.stamp {
+        if !self.has_authority(now) || r.token > grant.stamp {
             // Without authority, or with a later holder about, an answer would only hold the
             // worker here while its lease runs.
             self.counters.redirects += 1;
@@ -132,7 +132,7 @@
                 runtime.last_ok = Some(now);
                 self.counters.reports += 1;
                 Reply::Orders(Orders {
-                    baton: grant.stamp,
+                    token: grant.stamp,
                     orders,
                 })
             }
@@ -151,8 +151,8 @@
         confirmed: bool,
         now: Ms,
     ) -> Worth {
-        let number = (r.shift, r.tally);
-        if r.baton == runtime.token {
+        let number = (r.session, r.sequence);
+        if r.token == runtime.token {
             // Made under this grant: the numbers tell which is the newest. A copy renews nothing
             // and proves nothing, and nobody waits for its answer.
             return match (number > runtime.newest, runtime.lost) {
@@ -170,7 +170,7 @@
             }
             return Worth::Nothing;
         }
-        if r.baton == NO_TOKEN && !confirmed {
+        if r.token == NO_TOKEN && !confirmed {
             // Guards against a worker that begins anew and would obey any controller that ever held
             // it, also one whose block was granted to another long ago and whose copy of the queue
             // lists what has moved since. A life of a worker adopts a token only if that was the
@@ -205,8 +205,8 @@
         *runtime = MachineRuntime {
             token,
             since: now,
-            newest: if r.baton == token {
-                (r.shift, r.tally)
+            newest: if r.token == token {
+                (r.session, r.sequence)
             } else {
                 runtime.newest
             },
@@ -215,7 +215,7 @@
             ..MachineRuntime::default()
         };
         Reply::Orders(Orders {
-            baton: token,
+            token: token,
             orders: Vec::new(),
         })
     }
@@ -237,15 +237,19 @@
             info!(
                 rig = r.rig,
                 token = token.0,
-                shift = r.shift,
+                session = r.session,
                 "machine reports to us"
             );
         }
-        if r.shift > runtime.newest.0 && runtime.newest.0 > 0 {
-            warn!(rig = r.rig, shift = r.shift, "machine began a new session");
+        if r.session > runtime.newest.0 && runtime.newest.0 > 0 {
+            warn!(
+                rig = r.rig,
+                session = r.session,
+                "machine began a new session"
+            );
         }
-        let number = (r.shift, r.tally);
-        if r.baton == token.0 {
+        let number = (r.session, r.sequence);
+        if r.token == token.0 {
             runtime.newest = number;
             self.hasty |= !runtime.fenced;
             runtime.fenced = true;
@@ -256,7 +260,7 @@
             runtime.heard = Some(now);
         }
         runtime.recall_at = r
-            .recall_s
+            .reclaim_s
             .filter(|s| s.is_finite())
             .map(|s| now.plus((s.max(0.0) * 1000.0) as u64));
         runtime.launched.clear();
@@ -296,7 +300,7 @@
                     orders.push(Order::Stop {
                         leg: leg.leg.clone(),
                         attempt: leg.attempt,
-                        leeway_s: 0.0,
+                        grace_s: 0.0,
                     });
                 }
                 if let Some(task) = task {
@@ -329,10 +333,10 @@
                 if !ended_before(&entry) && (end == End::Done || proven) {
                     if let (Some(job), End::Done, Some(since), Some(was)) = (job, end, since, was)
                         && was.status == LegStatus::Running
-                        && job.spec.ride_s > 0.0
+                        && job.spec.estimate_s > 0.0
                     {
                         let ran = now.since(since) as f64 / 1000.0;
-                        ratios.push((job.class, ran / job.spec.ride_s));
+                        ratios.push((job.class, ran / job.spec.estimate_s));
                     }
                     new_ends.push((entry, end));
                 }
@@ -343,36 +347,36 @@
                 Some(0.0)
             } else if let Some(recall) = runtime.recall_at {
                 let left = recall.since(now) as f64 / 1000.0;
-                let saves = job.spec.waypoint_s > 0.0;
+                let saves = job.spec.checkpoint_s > 0.0;
                 let ran = since.map_or(0, |s| now.since(s)) as f64 / 1000.0;
                 let rest = (self.run_s(job) - ran).max(1.0);
                 if leg.status == LegStatus::Flushing || rest < left * 0.5 {
                     None
                 } else if saves {
-                    Some(job.spec.stow_s.max(left))
+                    Some(job.spec.save_s.max(left))
                 } else {
                     // It cannot be done in time: better begun again elsewhere at once.
                     (rest > left * 1.5).then_some(0.0)
                 }
             } else if machine.evict.contains(&entry) {
-                (leg.status != LegStatus::Flushing).then_some(job.spec.stow_s + 5.0)
+                (leg.status != LegStatus::Flushing).then_some(job.spec.save_s + 5.0)
             } else if machine.leaving || runtime.sick {
-                (leg.status != LegStatus::Flushing && job.spec.waypoint_s > 0.0)
-                    .then_some(job.spec.stow_s + 5.0)
+                (leg.status != LegStatus::Flushing && job.spec.checkpoint_s > 0.0)
+                    .then_some(job.spec.save_s + 5.0)
             } else {
                 None
             };
-            if let Some(leeway_s) = stop {
+            if let Some(grace_s) = stop {
                 orders.push(Order::Stop {
                     leg: leg.leg.clone(),
                     attempt: leg.attempt,
-                    leeway_s,
+                    grace_s,
                 });
             }
         }
         // A worker that has seen no token yet is only given ours: what it is to start comes once it
         // has shown that it obeys.
-        if r.baton != NO_TOKEN {
+        if r.token != NO_TOKEN {
             let (launches, freed) = self.launch(ix, runtime, used, leaving);
             orders.extend(launches);
             new_ends.extend(freed);
@@ -527,7 +531,7 @@
                 self.note_end(ix, entry, end, &mut runtime, now);
             }
             Reply::Orders(Orders {
-                baton: grant.stamp,
+                token: grant.stamp,
                 orders,
             })
         } else {
@@ -556,13 +560,13 @@
     /// shows no launch, and loses its lease although we answer.
     fn note_hearing(&self, runtime: &mut MachineRuntime, r: &Report, now: Ms) {
         let Some(heard) = runtime.heard else { return };
-        let next = r.shift == runtime.newest.0 && r.tally == runtime.newest.1 + 1;
+        let next = r.session == runtime.newest.0 && r.sequence == runtime.newest.1 + 1;
         let in_time = now.since(heard) < self.settings.report_due_ms().max(ANSWER_WAIT_MS);
         let shown = runtime.launched.iter().all(|t| {
             let leg = self.view.names.leg(*t);
             r.legs.iter().any(|l| l.leg == leg)
         });
-        let obeyed = r.baton == runtime.token;
+        let obeyed = r.token == runtime.token;
         if next && in_time && shown && obeyed {
             runtime.unheard = 0;
             runtime.heard_again += 1;
@@ -575,7 +579,7 @@
         let renewed = runtime
             .last_ok
             .is_some_and(|ok| now.since(ok) < self.settings.worker_gone_ms());
-        if r.shift > runtime.newest.0 && renewed {
+        if r.session > runtime.newest.0 && renewed {
             runtime.unheard += 2;
         } else if !shown
             || !in_time
--- a/src/core/runtime.rs
+++ b/src/core/runtime.rs
@@ -106,8 +106,8 @@
     /// The grant it came past; under another one the count begins anew.
     pub token: u64,
     pub frame: String,
-    pub yard: String,
-    pub loaners: bool,
+    pub zone: String,
+    pub spot: bool,
 }
 
 /// Failures of a job one after the other, as seen by this holder.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -63,13 +63,13 @@
         return Err(format!("legs: must be 1 to {MOST_TASKS}"));
     }
     let amounts = [
-        ("vcpus", s.vcpus),
+        ("vcpus", s.cpus),
         ("gpus", s.gpus),
-        ("ramGb", s.ram_gb),
-        ("sizeGb", s.size_gb),
-        ("rideS", s.ride_s),
-        ("waypointS", s.waypoint_s),
-        ("stowS", s.stow_s),
+        ("ramGb", s.memory_gb),
+        ("sizeGb", s.image_gb),
+        ("rideS", s.estimate_s),
+        ("waypointS", s.checkpoint_s),
+        ("stowS", s.save_s),
         ("dueS", s.due_s.unwrap_or(0.0)),
     ];
     for (name, v) in amounts {
@@ -77,10 +77,10 @@
             return Err(format!("{name}: must be a number of 0 or more"));
         }
     }
-    let names = [&s.route, &s.crew, &s.kit]
+    let names = [&s.class, &s.team, &s.image]
         .into_iter()
         .chain(s.frames.iter().flatten())
-        .chain(&s.yard);
+        .chain(&s.zone);
     for name in names {
         if name.is_empty() || name.len() > LONGEST_NAME {
             return Err(format!("a name must have 1 to {LONGEST_NAME} bytes"));
@@ -96,23 +96,23 @@
     /// Why a job can never run here, if so. The catalog must be known.
     pub fn never_runs(&self, s: &JobSpec) -> Option<String> {
         let teams = &self.settings.platform.settings.teams;
-        let Some(team) = teams.iter().find(|t| t.name == s.crew) else {
-            return Some(format!("unknown team {:?}", s.crew));
+        let Some(team) = teams.iter().find(|t| t.name == s.team) else {
+            return Some(format!("unknown team {:?}", s.team));
         };
-        if s.vcpus > team.cpus_max + 1e-6 || s.gpus > team.gpus_max + 1e-6 {
+        if s.cpus > team.cpus_max + 1e-6 || s.gpus > team.gpus_max + 1e-6 {
             let (cpus, gpus) = (team.cpus_max, team.gpus_max);
             return Some(format!(
                 "a task needs more than the team's limit ({cpus} CPUs, {gpus} GPUs)"
             ));
         }
         let room = Room {
-            cpus: s.vcpus,
+            cpus: s.cpus,
             gpus: s.gpus,
-            ram: s.ram_gb,
+            ram: s.memory_gb,
         };
         let fits = self.frames.values().any(|f| {
             s.frames.as_ref().is_none_or(|l| l.contains(&f.label))
-                && s.yard.as_ref().is_none_or(|y| f.yards.contains(y))
+                && s.zone.as_ref().is_none_or(|y| f.zones.contains(y))
                 && room.fits(&f.into())
         });
         (!fits).then(|| "a task fits no allowed machine type".into())
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -61,12 +61,12 @@
         f(&mut spec);
         core.never_runs(&spec).is_some()
     };
-    assert!(with(&|s| s.crew = "green".into()));
-    assert!(with(&|s| s.vcpus = 17.0));
+    assert!(with(&|s| s.team = "green".into()));
+    assert!(with(&|s| s.cpus = 17.0));
     assert!(with(&|s| s.gpus = 1.0));
-    assert!(with(&|s| s.ram_gb = 1e6));
+    assert!(with(&|s| s.memory_gb = 1e6));
     assert!(with(&|s| s.frames = Some(vec!["none".into()])));
-    assert!(with(&|s| s.yard = Some("west".into())));
+    assert!(with(&|s| s.zone = Some("west".into())));
 }
 
 #[test]
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -27,18 +27,18 @@
         let age_s = |since_ms: u64| self.day_ms.saturating_sub(since_ms) as f64 / 1000.0;
         let s = &self.settings.platform.settings;
         let objective = || {
-            let of_class = s.objectives.iter().filter(|o| o.class == job.spec.route);
+            let of_class = s.objectives.iter().filter(|o| o.class == job.spec.class);
             of_class.filter_map(|o| o.within_s).min_by(f64::total_cmp)
         };
-        let team = s.teams.iter().find(|t| t.name == job.spec.crew);
+        let team = s.teams.iter().find(|t| t.name == job.spec.team);
         // A team without a limit is as wide as the widest that has one.
         let finite = s.teams.iter().map(|t| t.cpus_max).filter(|c| c.is_finite());
         let widest = finite.fold(1.0, f64::max);
         let wide = team.map_or(1.0, |t| t.cpus_max.min(widest));
-        let wide = wide.max(job.spec.vcpus).max(1e-3);
+        let wide = wide.max(job.spec.cpus).max(1e-3);
         let left = f64::from(job.spec.legs.saturating_sub(job.done.len()));
         let run = self.run_s(job);
-        let work = left * job.spec.vcpus * run;
+        let work = left * job.spec.cpus * run;
         let rest = run + work / wide;
         // With more asked than can be done, serving the closest deadline first makes everything
         // a little late. What costs little is worth saving first: small jobs count as due
@@ -80,7 +80,7 @@
         let objectives = &self.settings.platform.settings.objectives;
         let times = objectives
             .iter()
-            .filter(|o| o.class == job.spec.route)
+            .filter(|o| o.class == job.spec.class)
             .filter_map(|o| o.times)
             .fold(1.0, f64::max);
         // An objective without a deadline is a wish for the class, and the estimates are rough.
@@ -144,7 +144,7 @@
     fn fleet_cpus(&self) -> f64 {
         let machines = self.view.machines.values();
         let frames = machines.filter_map(|m| self.frames.get(&m.frame));
-        frames.map(|f| f.vcpus).sum()
+        frames.map(|f| f.cpus).sum()
     }
 
     /// Tasks of a job that may be open at its place in the order; the others come after all other
@@ -154,7 +154,7 @@
     /// small ones behind it miss their deadlines.
     fn share_tasks(&self, job: &Job, fleet_cpus: f64) -> usize {
         let cpus = fleet_cpus * self.settings.options.queue_share;
-        let tasks = cpus / job.spec.vcpus.max(MIN_TASK_CPUS);
+        let tasks = cpus / job.spec.cpus.max(MIN_TASK_CPUS);
         (tasks as usize).max(SHARE_TASKS)
     }
 
@@ -167,7 +167,7 @@
             .map(|(&ix, j)| {
                 let begun = j.done.len() + self.view.bound_len(ix);
                 let left = j.spec.legs.saturating_sub(begun);
-                f64::from(left) * j.spec.vcpus * self.run_s(j)
+                f64::from(left) * j.spec.cpus * self.run_s(j)
             })
             .sum();
         waiting / cpus.max(1.0)
@@ -178,7 +178,7 @@
         let pending = self.view.jobs.values();
         let mut pending = pending.filter(|j| j.status == JobStatus::Pending);
         let mut waiting = self.view.waiting.jobs.values();
-        pending.any(|j| !j.spec.loaners) || waiting.any(|w| !w.record.spec.loaners)
+        pending.any(|j| !j.spec.spot) || waiting.any(|w| !w.record.spec.spot)
     }
 
     /// Whether a job's tasks are bound at once, and not at the regular turn of a block: it is part
@@ -238,7 +238,7 @@
             }
             let beyond = guarantee
                 .get(&job.team)
-                .is_none_or(|g| job.spec.vcpus > g + 1e-6);
+                .is_none_or(|g| job.spec.cpus > g + 1e-6);
             let (tier, slack) = self.rank(ix, job);
             order.push((tier, beyond, slack, ix));
         }
@@ -281,7 +281,7 @@
                 false => TASKS_AT_ONCE,
             };
             let needs = needs_of(job);
-            let placed = needs.same_place || needs.zone_most.is_some();
+            let placed = needs.one_zone || needs.zone_most.is_some();
             let zones = match placed {
                 true => {
                     let all = zones.get_or_insert_with(|| self.zones_of());
@@ -300,7 +300,7 @@
                 job: ix,
                 team: job.team,
                 image: job.image,
-                image_gb: job.spec.size_gb,
+                image_gb: job.spec.image_gb,
                 needs,
                 run_s: self.run_s(job),
                 tasks,
--- a/src/leader/binding/tests.rs
+++ b/src/leader/binding/tests.rs
@@ -15,7 +15,7 @@
     };
     let mut spec = good.spec;
     spec.due_s = due_s;
-    spec.crew = "blue".into();
+    spec.team = "blue".into();
     let mut job = job_of(spec);
     job.submitted_ms = SUBMITTED_MS;
     job.ready_ms = Some(SUBMITTED_MS + 100_000);
@@ -33,8 +33,8 @@
 fn the_deadline_counts_from_the_submission_however_long_the_job_waited() {
     let (core, job) = at(130, Some(300.0));
     let wide = core.settings.platform.settings.teams[0].cpus_max;
-    let work = f64::from(job.spec.legs) * job.spec.vcpus * job.spec.ride_s;
-    let rest = job.spec.ride_s + work / wide;
+    let work = f64::from(job.spec.legs) * job.spec.cpus * job.spec.estimate_s;
+    let rest = job.spec.estimate_s + work / wide;
     assert!((slack_at(130, Some(300.0)) - (170.0 - rest)).abs() < 1e-6);
 }
 
--- a/src/leader/edits.rs
+++ b/src/leader/edits.rs
@@ -122,8 +122,8 @@
             if s.for_ms >= 500 && !self.lead.removed.contains_key(&s.rig) {
                 let machine = NewMachine {
                     frame: s.frame,
-                    zone: s.yard,
-                    spot: s.loaners,
+                    zone: s.zone,
+                    spot: s.spot,
                 };
                 self.lead.place.entry(s.rig).or_insert(machine);
             }
@@ -137,7 +137,7 @@
 
     /// Bytes that a machine may come to fill in its block's value: its name, and its tasks.
     pub(crate) fn expected_bytes(&self, frame: FrameIx) -> usize {
-        let cpus = self.frames.get(&frame).map_or(8.0, |f| f.vcpus);
+        let cpus = self.frames.get(&frame).map_or(8.0, |f| f.cpus);
         let most = self.settings.value_bytes() * 2 / 5;
         (20 + (cpus * 6.0) as usize).min(most)
     }
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -7,7 +7,7 @@
 
 /// Price of a CPU of a machine.
 fn per_cpu(frame: &Frame, spot: bool) -> f64 {
-    frame.price_of(spot) / frame.vcpus.max(1e-6)
+    frame.price_of(spot) / frame.cpus.max(1e-6)
 }
 
 /// Whether a machine is dear, given the least prices of a CPU and of a machine.
@@ -192,11 +192,11 @@
         let cheapest = (least(per_cpu), least(Frame::price_of));
         let (mut cheap, mut all) = (0.0, 0.0);
         for (f, spot) in machines() {
-            all += f.vcpus;
+            all += f.cpus;
             cheap += if is_dear(f, spot, cheapest) {
                 0.0
             } else {
-                f.vcpus
+                f.cpus
             };
         }
         if cheap * 4.0 > all {
--- a/src/leader/preemption.rs
+++ b/src/leader/preemption.rs
@@ -34,8 +34,8 @@
         for m in self.view.machines.values() {
             for e in &m.evict {
                 if let Some(job) = self.view.jobs.get(&e.task.job) {
-                    *coming.entry(job.team).or_default() += job.spec.vcpus;
-                    coming_all += job.spec.vcpus;
+                    *coming.entry(job.team).or_default() += job.spec.cpus;
+                    coming_all += job.spec.cpus;
                 }
             }
         }
@@ -96,7 +96,7 @@
                     let job = self.view.jobs.get(&e.task.job)?;
                     let run_s = self.run_s(job);
                     // Long tasks decide when everything is done: they run through.
-                    if run_s >= 60.0 || job.spec.waypoint_s <= 0.0 {
+                    if run_s >= 60.0 || job.spec.checkpoint_s <= 0.0 {
                         return None;
                     }
                     let (tier, slack) = self.rank(e.task.job, job);
@@ -105,7 +105,7 @@
                         entry: *e,
                         team: job.team,
                         urgency: self.urgency_of(e.task.job, job),
-                        cpus: job.spec.vcpus,
+                        cpus: job.spec.cpus,
                         run_s,
                         tier,
                         slack,
--- a/src/leader/renting.rs
+++ b/src/leader/renting.rs
@@ -83,7 +83,7 @@
             .values()
             .filter_map(|(r, _)| {
                 let frame = self.view.names.frames.get(&r.frame)?;
-                Some((frame, self.view.names.zones.get(&r.yard)?, r.loaners))
+                Some((frame, self.view.names.zones.get(&r.zone)?, r.spot))
             })
             .collect();
         let orders = fleet::rent(demand, &fleet, &offers, rules, |f, z, s| {
@@ -96,14 +96,14 @@
             let rental = Rental {
                 booking: format!("b-{}-{}", term.0, self.lead.bookings),
                 frame: self.view.names.frames.name(o.frame).to_owned(),
-                yard: self.view.names.zones.name(o.zone).to_owned(),
-                loaners: o.spot,
+                zone: self.view.names.zones.name(o.zone).to_owned(),
+                spot: o.spot,
                 number: o.number.min(MOST_RENTED),
             };
             info!(
                 booking = rental.booking,
                 frame = rental.frame,
-                zone = rental.yard,
+                zone = rental.zone,
                 spot = o.spot,
                 number = rental.number,
                 "renting"
@@ -144,7 +144,7 @@
             };
             let saves = |e: &Entry| {
                 let job = self.view.jobs.get(&e.task.job);
-                job.is_some_and(|j| j.spec.waypoint_s > 0.0)
+                job.is_some_and(|j| j.spec.checkpoint_s > 0.0)
             };
             let load = self.known_load(m.machine, now);
             let left_s = load * m.size.cpus / used.max(0.1);
@@ -174,7 +174,7 @@
             .lead
             .renting
             .values()
-            .map(|(r, _)| (&r.frame, &r.yard, r.loaners, r.number));
+            .map(|(r, _)| (&r.frame, &r.zone, r.spot, r.number));
         for (frame, zone, spot, number) in placed.chain(asked) {
             let names = &self.view.names;
             let (Some(frame), Some(zone)) = (names.frames.get(frame), names.zones.get(zone)) else {
@@ -207,7 +207,7 @@
                 frame,
                 size: Room::from(f),
                 zones: f
-                    .yards
+                    .zones
                     .iter()
                     .filter_map(|y| self.view.names.zones.get(y))
                     .collect(),
@@ -242,7 +242,7 @@
             let Some(room) = room.get_mut(&job.team) else {
                 continue;
             };
-            let cpus = job.spec.vcpus.max(1e-3);
+            let cpus = job.spec.cpus.max(1e-3);
             let tasks = left.min((*room / cpus).floor().max(0.0));
             *room -= tasks * cpus;
             out.push(Demand {
@@ -319,8 +319,8 @@
                     if !self.lead.removed.contains_key(&rig.name) {
                         let record = NewMachine {
                             frame: rig.frame,
-                            zone: rig.yard,
-                            spot: rig.loaners,
+                            zone: rig.zone,
+                            spot: rig.spot,
                         };
                         self.lead.place.entry(rig.name).or_insert(record);
                     }
@@ -357,21 +357,19 @@
         );
         if (got.len() as u32) < rental.number {
             let frame = self.view.names.frames.get(&rental.frame);
-            let zone = self.view.names.zones.get(&rental.yard);
+            let zone = self.view.names.zones.get(&rental.zone);
             if let (Some(frame), Some(zone)) = (frame, zone) {
                 let wait = (self.settings.options.fleet_refused_s * 1000.0) as u64;
                 let until = now.plus(wait + self.rng.random_range(0..wait / 2 + 1));
-                self.lead
-                    .refused
-                    .insert((frame, zone, rental.loaners), until);
+                self.lead.refused.insert((frame, zone, rental.spot), until);
             }
         }
         self.lead.next_fleet = now;
         for name in got {
             let record = NewMachine {
                 frame: rental.frame.clone(),
-                zone: rental.yard.clone(),
-                spot: rental.loaners,
+                zone: rental.zone.clone(),
+                spot: rental.spot,
             };
             self.lead.place.insert(name, record);
         }
--- a/src/leader/rounds.rs
+++ b/src/leader/rounds.rs
@@ -163,7 +163,7 @@
             .filter(|e| self.may_move(ix, e))
             .filter_map(|e| {
                 let job = self.view.jobs.get(&e.task.job)?;
-                let load = self.run_s(job) * job.spec.vcpus / size.cpus.max(1e-6);
+                let load = self.run_s(job) * job.spec.cpus / size.cpus.max(1e-6);
                 Some((*e, load))
             })
             .collect()
@@ -342,7 +342,7 @@
             && pack.tasks.iter().all(|e| {
                 self.view.jobs.get(&e.task.job).is_some_and(|job| {
                     let n = needs_of(job);
-                    let placed = n.same_place || n.zone_most.is_some();
+                    let placed = n.one_zone || n.zone_most.is_some();
                     n.suits(to.frame, to.zone, to.spot, &size) && (!placed || from.zone == to.zone)
                 })
             })
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -52,9 +52,9 @@
 impl From<&Frame> for Room {
     fn from(f: &Frame) -> Room {
         Room {
-            cpus: f.vcpus,
+            cpus: f.cpus,
             gpus: f.gpus,
-            ram: f.ram_gb,
+            ram: f.memory_gb,
         }
     }
 }
@@ -120,7 +120,7 @@
     /// Spot permitted.
     pub spot: bool,
     /// All in one zone.
-    pub same_place: bool,
+    pub one_zone: bool,
     /// Most tasks in one zone, for a spread job.
     pub zone_most: Option<u32>,
 }
@@ -146,7 +146,7 @@
     pub fn zone_suits(&self, zone: ZoneIx, bound: &HashMap<ZoneIx, u32>) -> bool {
         let elsewhere = || bound.iter().any(|(&z, &n)| z != zone && n > 0);
         let here = || bound.get(&zone).copied().unwrap_or(0);
-        !(self.same_place && elsewhere()) && self.zone_most.is_none_or(|most| here() < most)
+        !(self.one_zone && elsewhere()) && self.zone_most.is_none_or(|most| here() < most)
     }
 }
 
@@ -274,7 +274,7 @@
             }
             let Some(at) = choose(slots, open, &warm, &kept, job, limits, rng) else {
                 regular.retain(|&i| !kept[i] && slots[i].wait_s(&least) <= limits.ahead_s);
-                let anywhere = !job.needs.same_place && job.needs.zone_most.is_none();
+                let anywhere = !job.needs.one_zone && job.needs.zone_most.is_none();
                 // Where an overdue job finds nothing, nobody else does, but not the reverse.
                 if anywhere && !job.lasts(limits) {
                     failed.push((job.overdue, job.early, job.needs.clone()));
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -36,7 +36,7 @@
         frames: None,
         zone: None,
         spot: true,
-        same_place: false,
+        one_zone: false,
         zone_most: None,
     }
 }
@@ -173,7 +173,7 @@
 #[test]
 fn places_that_a_job_forbids_stay_empty() {
     let same = Needs {
-        same_place: true,
+        one_zone: true,
         ..needs()
     };
     let mut slots = [slot(0, 0, 2.0), slot(1, 1, 8.0)];
--- a/src/records.rs
+++ b/src/records.rs
@@ -91,7 +91,7 @@
             self.done.tasks = RangeSet::all(self.done.tasks.len());
         }
         if too_large(self) {
-            (self.spec.frames, self.spec.yard) = (None, None);
+            (self.spec.frames, self.spec.zone) = (None, None);
         }
     }
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -431,15 +431,15 @@
         let names = &mut self.names;
         let job = Job {
             stamp,
-            team: names.teams.intern(&r.spec.crew),
-            class: names.classes.intern(&r.spec.route),
-            image: names.images.intern(&r.spec.kit),
+            team: names.teams.intern(&r.spec.team),
+            class: names.classes.intern(&r.spec.class),
+            image: names.images.intern(&r.spec.image),
             frames: r
                 .spec
                 .frames
                 .as_ref()
                 .map(|f| f.iter().map(|f| names.frames.intern(f)).collect()),
-            zone: r.spec.yard.as_ref().map(|y| names.zones.intern(y)),
+            zone: r.spec.zone.as_ref().map(|y| names.zones.intern(y)),
             status: r.status,
             done,
             stored: r.done.tasks,
--- a/src/view/job.rs
+++ b/src/view/job.rs
@@ -101,9 +101,9 @@
     /// Room of one task.
     pub fn room(&self) -> crate::queue::Room {
         crate::queue::Room {
-            cpus: self.spec.vcpus,
+            cpus: self.spec.cpus,
             gpus: self.spec.gpus,
-            ram: self.spec.ram_gb,
+            ram: self.spec.memory_gb,
         }
     }
 
--- a/src/view/waiting.rs
+++ b/src/view/waiting.rs
@@ -47,7 +47,7 @@
     OwnDemand {
         urgency: spec.urgency,
         due_ms: spec.due_s.map(|due_s| submitted_ms as i64 + ms(due_s)),
-        duration_ms: ms(spec.ride_s),
+        duration_ms: ms(spec.estimate_s),
     }
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -57,9 +57,11 @@
 #[serde(rename_all = "camelCase")]
 pub struct JobSpec {
     /// Class.
-    pub route: String,
+    #[serde(rename = "route")]
+    pub class: String,
     /// Team.
-    pub crew: String,
+    #[serde(rename = "crew")]
+    pub team: String,
     /// Kind of job.
     pub shape: Shape,
     /// Priority.
@@ -67,33 +69,42 @@
     /// Number of tasks.
     pub legs: u32,
     /// CPUs of a task.
-    pub vcpus: f64,
+    #[serde(rename = "vcpus")]
+    pub cpus: f64,
     /// GPUs of a task.
     pub gpus: f64,
     /// Memory of a task.
-    pub ram_gb: f64,
+    #[serde(rename = "ramGb")]
+    pub memory_gb: f64,
     /// Image.
-    pub kit: String,
+    #[serde(rename = "kit")]
+    pub image: String,
     /// Size of the image.
-    pub size_gb: f64,
+    #[serde(rename = "sizeGb")]
+    pub image_gb: f64,
     /// Allowed machine types.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub frames: Option<Vec<String>>,
     /// The only allowed zone.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub yard: Option<String>,
+    #[serde(rename = "yard", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
     /// All tasks in one zone.
-    pub same_place: bool,
+    #[serde(rename = "samePlace")]
+    pub one_zone: bool,
     /// At most half of the tasks in one zone.
     pub spread: bool,
     /// Whether spot machines are permitted.
-    pub loaners: bool,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
     /// Estimated run time.
-    pub ride_s: f64,
+    #[serde(rename = "rideS")]
+    pub estimate_s: f64,
     /// Checkpoint interval, 0 if the tasks never save.
-    pub waypoint_s: f64,
+    #[serde(rename = "waypointS")]
+    pub checkpoint_s: f64,
     /// Time to save when stopped.
-    pub stow_s: f64,
+    #[serde(rename = "stowS")]
+    pub save_s: f64,
     /// Deadline from submission.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub due_s: Option<f64>,
@@ -233,18 +244,23 @@
     /// Machine type.
     pub frame: String,
     /// Zone.
-    pub yard: String,
+    #[serde(rename = "yard")]
+    pub zone: String,
     /// Whether it is a spot machine.
-    pub loaners: bool,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
     /// Session.
-    pub shift: u64,
+    #[serde(rename = "shift")]
+    pub session: u64,
     /// Counter of messages.
-    pub tally: u64,
+    #[serde(rename = "tally")]
+    pub sequence: u64,
     /// Highest token seen.
-    pub baton: u64,
+    #[serde(rename = "baton")]
+    pub token: u64,
     /// Seconds until the cloud takes the machine.
-    #[serde(default)]
-    pub recall_s: Option<f64>,
+    #[serde(default, rename = "recallS")]
+    pub reclaim_s: Option<f64>,
     /// Tasks on the machine.
     pub legs: Vec<Leg>,
 }
@@ -270,7 +286,7 @@
         attempt: u64,
         /// Time it has for saving.
         #[serde(rename = "leewayS")]
-        leeway_s: f64,
+        grace_s: f64,
     },
     /// Forget an ended task.
     Clear {
@@ -286,7 +302,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Orders {
     /// Token.
-    pub baton: u64,
+    #[serde(rename = "baton")]
+    pub token: u64,
     /// Commands.
     pub orders: Vec<Order>,
 }
@@ -298,12 +315,14 @@
     /// Name.
     pub label: String,
     /// CPUs.
-    pub vcpus: f64,
+    #[serde(rename = "vcpus")]
+    pub cpus: f64,
     /// GPUs.
     #[serde(default)]
     pub gpus: f64,
     /// Memory.
-    pub ram_gb: f64,
+    #[serde(rename = "ramGb")]
+    pub memory_gb: f64,
     /// Image cache.
     #[serde(default)]
     pub local_gb: f64,
@@ -317,7 +336,8 @@
     /// Boot time.
     pub boot_s: f64,
     /// Zones that have it.
-    pub yards: Vec<String>,
+    #[serde(rename = "yards")]
+    pub zones: Vec<String>,
 }
 
 impl Frame {
@@ -342,9 +362,11 @@
     /// Type.
     pub frame: String,
     /// Zone.
-    pub yard: String,
+    #[serde(rename = "yard")]
+    pub zone: String,
     /// Spot.
-    pub loaners: bool,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
     /// How many.
     pub number: u32,
 }
@@ -369,9 +391,11 @@
     /// Type.
     pub frame: String,
     /// Zone.
-    pub yard: String,
+    #[serde(rename = "yard")]
+    pub zone: String,
     /// Spot.
-    pub loaners: bool,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
     /// `starting`, `running` or `failed`.
     pub status: String,
     /// Seconds since the rental.
@@ -543,9 +567,11 @@
     /// Type.
     pub frame: String,
     /// Zone.
-    pub yard: String,
+    #[serde(rename = "yard")]
+    pub zone: String,
     /// Spot.
-    pub loaners: bool,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
     /// How long it has come here without being heard by its holder.
     pub for_ms: u64,
 }
--- a/tests/addition.rs
+++ b/tests/addition.rs
@@ -43,7 +43,7 @@
     w.flood(15);
     let mut large = w.spec(200);
     large.urgency = Urgency::BestEffort;
-    large.vcpus = 2.0;
+    large.cpus = 2.0;
     let large = w.submit(1, large);
     let submitted = w.now;
     w.flood(240);
@@ -64,7 +64,7 @@
     }
     w.run(10_000);
     let mut theirs = w.spec(8);
-    theirs.crew = "red".into();
+    theirs.team = "red".into();
     let theirs = w.submit(30, theirs);
     w.until(60_000, "the other team's job is done", |w| {
         w.is_done(&theirs)
@@ -77,7 +77,7 @@
     let mut w = settled(3, 3, 2);
     w.run_ms = 20_000;
     let mut long = w.spec(60);
-    long.ride_s = 20.0;
+    long.estimate_s = 20.0;
     w.submit(1, long);
     w.until(30_000, "machines come", |w| w.workers.len() > 2);
     let deaf = w.workers.len() - 1;
@@ -384,7 +384,7 @@
     w.run_ms = 20_000;
     for n in 1..=10 {
         let mut spec = w.spec(60);
-        spec.ride_s = 10.0 + f64::from(n) * 3.0;
+        spec.estimate_s = 10.0 + f64::from(n) * 3.0;
         w.submit(n, spec);
     }
     w.run(60_000);
@@ -407,7 +407,7 @@
     let job = w.submit(1, w.spec(16));
     w.until(20_000, "all run", |w| w.running() == 16);
     let south = |w: &World| -> Vec<usize> {
-        let of = |&i: &usize| w.workers[i].rig.yard == "south";
+        let of = |&i: &usize| w.workers[i].rig.zone == "south";
         (0..w.workers.len()).filter(of).collect()
     };
     south(&w).into_iter().for_each(|i| w.workers[i].cut = true);
@@ -440,7 +440,7 @@
                 let mut report = w.workers[at].report();
                 // Who had no answer has asked another controller in between.
                 let step = if misses(n) { 2 } else { 1 };
-                report.tally += round * step;
+                report.sequence += round * step;
                 let at = if misses(n) { now } else { w.now + round * 1000 };
                 let core = &mut w.nodes[i].as_mut().expect("alive").core;
                 core.on_report(report, Ms(at));
@@ -493,9 +493,9 @@
     let i = w.holder(&rig).expect("held");
     w.run(6000);
     let clock = w.clock(i);
-    w.workers[0].tally += 1;
+    w.workers[0].sequence += 1;
     let report = w.workers[0].report();
-    let number = (report.shift, report.tally);
+    let number = (report.session, report.sequence);
     let core = &mut w.nodes[i].as_mut().expect("alive").core;
     core.on_report(report.clone(), clock);
     assert!(core.may_wait(&rig, number, clock).is_some());
@@ -517,7 +517,7 @@
     assert_eq!(core.may_wait(&rig, number, clock), None);
     // An answer to a report that was overtaken, or under a grant that is gone, starts nothing.
     let mut newer = report;
-    newer.tally += 1;
+    newer.sequence += 1;
     core.on_report(newer, clock);
     assert_eq!(orders(core.answer_late(&rig, number, clock)), 0);
     w.strand(i);
@@ -546,8 +546,8 @@
             w.run_ms = 2000 + u64::from(n * 7919 % 17) * 1000;
             w.run(500);
             let mut spec = w.spec(40);
-            spec.vcpus = 0.25;
-            spec.ram_gb = 0.1;
+            spec.cpus = 0.25;
+            spec.memory_gb = 0.1;
             w.submit(n, spec)
         })
         .collect();
@@ -578,7 +578,7 @@
     let mut at = w.now;
     for _ in 0..8 {
         at += 6200;
-        w.workers[0].tally += 1;
+        w.workers[0].sequence += 1;
         let report = w.workers[0].report();
         let core = &mut w.nodes[holder].as_mut().expect("alive").core;
         core.on_report(report, Ms(at));
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -78,7 +78,7 @@
         w.state.value(&job_key(&done)).is_none()
     });
     let mut red = w.spec(2);
-    red.crew = "red".into();
+    red.team = "red".into();
     let other = w.submit(2, red);
     let slow = w.submit(3, w.spec(2));
     w.faulty.insert(slow.clone());
@@ -143,7 +143,7 @@
     w.run_ms = 6000;
     let spec = |w: &World, urgency: Urgency| JobSpec {
         urgency,
-        crew: "red".into(),
+        team: "red".into(),
         ..w.spec(2)
     };
     for n in 1..=24 {
--- a/tests/compatibility.rs
+++ b/tests/compatibility.rs
@@ -315,7 +315,7 @@
     w.run_ms = 3000;
     let first = w.submit(1, w.spec(9));
     let mut spec = w.spec(3);
-    (spec.due_s, spec.yard) = (Some(60.0), Some("north".into()));
+    (spec.due_s, spec.zone) = (Some(60.0), Some("north".into()));
     let second = w.chain(2, spec, &[&first]);
     let third = w.chain(3, w.spec(1), &[&second]);
     let fourth = w.chain(4, w.spec(1), &[&third]);
--- a/tests/double_starts.rs
+++ b/tests/double_starts.rs
@@ -74,10 +74,10 @@
     let job = job.expect("listed there too");
     // Attempts are stored as what they exceed the block's first one by.
     let first = to.first_attempt.min(attempt);
-    let shift = to.first_attempt - first;
+    let session = to.first_attempt - first;
     to.first_attempt = first;
     for machine in to.machines.values_mut() {
-        machine.queue.iter_mut().for_each(|q| q.2 += shift);
+        machine.queue.iter_mut().for_each(|q| q.2 += session);
     }
     let queue = &mut to.machines.get_mut(thief).expect("listed").queue;
     queue.push((job, moved, attempt - first));
@@ -115,7 +115,7 @@
     w.workers[victim].cut = true;
     w.run_ms = 60_000;
     let mut spec = w.spec(12);
-    spec.vcpus = 0.5;
+    spec.cpus = 0.5;
     w.submit(1, spec);
     w.until(4000, "bound", |w| {
         let (_, block) = block_of(w, &victim_rig);
@@ -164,7 +164,7 @@
         // Its task fails; the report of this is held up on its way.
         w.workers[at].cut = true;
         let mut late = w.workers[at].report();
-        late.tally += 1;
+        late.sequence += 1;
         late.legs[0].status = LegStatus::Ended;
         late.legs[0].cause = Some(Cause::Error);
         let task = late.legs[0].leg.clone();
@@ -221,14 +221,14 @@
         w.run(5000);
         // The next holder finds that it may not start anything there, and frees what is bound.
         w.workers[at].cut = false;
-        w.workers[at].recall_s = Some(30.0);
+        w.workers[at].reclaim_s = Some(30.0);
         w.run_ms = 60_000;
         w.until(9000, "freed", |w| {
             block_of(w, &rig).1.machines[&rig].queue.is_empty()
         });
         w.until(9000, "it runs elsewhere", |w| w.running() >= 4);
         w.restart_machine(at);
-        w.workers[at].recall_s = None;
+        w.workers[at].reclaim_s = None;
         w.workers[at].at = stale;
         assert!(w.core(stale).has_authority(w.clock(stale)));
         w.run(3000);
@@ -278,7 +278,7 @@
     let holder = w.holder(&rig).expect("held");
     let before = block_of(&w, &rig).1.machines[&rig].queue.clone();
     let mut report = w.workers[at].report();
-    report.tally += 1;
+    report.sequence += 1;
     let listed = report.legs[0].clone();
     report.legs[0].status = LegStatus::Ended;
     report.legs[0].cause = Some(Cause::InUse);
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -68,7 +68,7 @@
     w.run(3000);
     let kept = w.fill(300_000, 6);
     let mut spec = w.spec(6);
-    spec.crew = "red".into();
+    spec.team = "red".into();
     let called_off = w.submit(2, spec);
     w.until(15_000, "all run", |w| w.running() == 12);
     let there = |w: &World, i: usize| {
@@ -261,9 +261,9 @@
         (0..3).for_each(|i| w.links[i].state = Mood::Slow(1500));
         for n in 1..=8 {
             let mut spec = w.spec(14);
-            (spec.same_place, spec.spread) = (n % 2 == 0, n % 2 == 1);
+            (spec.one_zone, spec.spread) = (n % 2 == 0, n % 2 == 1);
             if n % 4 == 3 {
-                spec.yard = Some("north".into());
+                spec.zone = Some("north".into());
             }
             jobs.push(w.submit(n, spec));
             w.run(1500);
@@ -285,7 +285,7 @@
         w.side[inside] = 1;
         w.strand(inside);
         let lost: Vec<usize> = (0..w.workers.len())
-            .filter(|&i| w.workers[i].rig.yard == "south")
+            .filter(|&i| w.workers[i].rig.zone == "south")
             .collect();
         for &at in &lost {
             // They reach the controller inside and nobody else.
@@ -393,7 +393,7 @@
             w.leader_but(old).is_some() && w.workers.iter().all(held)
         });
         let mut urgent = w.spec(4);
-        (urgent.urgency, urgent.crew) = (Urgency::Urgent, "red".into());
+        (urgent.urgency, urgent.team) = (Urgency::Urgent, "red".into());
         let urgent = w.submit(2, urgent);
         w.until(10_000, "urgent work starts", |w| w.running_of(&urgent) == 4);
         assert!(w.returned.is_empty(), "{:?}", w.returned);
@@ -410,7 +410,7 @@
         w.run(3000);
         let job = w.fill(150_000, 16);
         let mut theirs = w.spec(16);
-        theirs.crew = "red".into();
+        theirs.team = "red".into();
         w.submit(2, theirs);
         w.until(15_000, "every machine is full", |w| w.running() == 32);
         w.run(45_000);
@@ -586,10 +586,10 @@
     let mut jobs = Vec::new();
     for n in 1..=30 {
         let mut spec = w.spec(6);
-        spec.ride_s = 5.0;
+        spec.estimate_s = 5.0;
         spec.urgency = [Urgency::Urgent, Urgency::Normal, Urgency::BestEffort][n % 3];
-        spec.crew = ["blue", "red"][n % 2].into();
-        spec.vcpus = [1.0, 2.0, 4.0][n % 3];
+        spec.team = ["blue", "red"][n % 2].into();
+        spec.cpus = [1.0, 2.0, 4.0][n % 3];
         jobs.push(w.submit(n as u32, spec));
         w.run(700);
     }
@@ -635,8 +635,8 @@
         for n in 1..=14 {
             if n <= 6 {
                 let mut spec = w.spec(luck.random_range(1..16));
-                spec.same_place = luck.random_bool(0.3);
-                spec.spread = !spec.same_place && luck.random_bool(0.3);
+                spec.one_zone = luck.random_bool(0.3);
+                spec.spread = !spec.one_zone && luck.random_bool(0.3);
                 w.run_ms = luck.random_range(3000..40_000);
                 let job = w.submit(n, spec);
                 all.push(job.clone());
@@ -690,12 +690,12 @@
     assert!(w.state.list("qb/block/").0.len() >= 25, "many blocks");
     w.run_ms = 90_000;
     let mut long = w.spec(16);
-    long.crew = "red".into();
+    long.team = "red".into();
     let long = w.submit(1, long);
     w.until(20_000, "all run", |w| w.running_of(&long) == 16);
     w.run_ms = 1500;
     let mut short = w.spec(4000);
-    (short.crew, short.vcpus, short.ram_gb) = ("guest".into(), 0.25, 0.1);
+    (short.team, short.cpus, short.memory_gb) = ("guest".into(), 0.25, 0.1);
     let short = w.submit(2, short);
     w.run(10_000);
     assert!(w.running_of(&short) > 20, "nothing competes for the budget");
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -38,8 +38,8 @@
     w.cloud_up = false;
     w.run_ms = 1000;
     let mut giant = w.spec(100_000);
-    (giant.crew, giant.vcpus, giant.ram_gb) = ("guest".into(), 0.25, 0.1);
-    giant.ride_s = 1.0;
+    (giant.team, giant.cpus, giant.memory_gb) = ("guest".into(), 0.25, 0.1);
+    giant.estimate_s = 1.0;
     w.run(5000);
     w.state.forget_history();
     let before = LIVE.load(Ordering::Relaxed);
--- a/tests/nights.rs
+++ b/tests/nights.rs
@@ -20,8 +20,8 @@
     w.cloud_up = false;
     w.run_ms = 6000;
     let mut giant = w.spec(3000);
-    (giant.crew, giant.urgency) = ("guest".into(), Urgency::BestEffort);
-    (giant.vcpus, giant.ram_gb) = (0.25, 0.1);
+    (giant.team, giant.urgency) = ("guest".into(), Urgency::BestEffort);
+    (giant.cpus, giant.memory_gb) = (0.25, 0.1);
     assert_eq!(w.core(0).never_runs(&giant), None);
     let giant = w.submit(1, giant);
     begins_within(&mut w, &giant, 10_000);
@@ -53,7 +53,7 @@
     let began = w.state.writes;
     for n in 1..=300 {
         let mut probe = w.spec(1);
-        (probe.crew, probe.vcpus, probe.ram_gb) = ("guest".into(), 0.25, 0.1);
+        (probe.team, probe.cpus, probe.memory_gb) = ("guest".into(), 0.25, 0.1);
         probes.push(w.submit(n, probe));
         w.run(200);
     }
@@ -84,10 +84,10 @@
     w.cloud_up = false;
     w.run_ms = 12_000;
     let mut large = w.spec(24);
-    (large.crew, large.vcpus, large.ride_s) = ("guest".into(), 3.0, 12.0);
+    (large.team, large.cpus, large.estimate_s) = ("guest".into(), 3.0, 12.0);
     let large = w.submit(1, large);
     let mut small = w.spec(40);
-    (small.crew, small.ride_s) = ("guest".into(), 3.0);
+    (small.team, small.estimate_s) = ("guest".into(), 3.0);
     let small = w.submit(2, small);
     w.until(200_000, "done", |w| w.is_done(&large) && w.is_done(&small));
     w.assert_kept();
@@ -185,7 +185,7 @@
     let mut w = World::settled(8, 3, 0);
     w.run_ms = 60_000;
     let mut spec = w.spec(16);
-    (spec.crew, spec.ride_s) = ("guest".into(), 60.0);
+    (spec.team, spec.estimate_s) = ("guest".into(), 60.0);
     let first = w.submit(1, spec.clone());
     w.until(60_000, "starts have been seen", |w| {
         w.running_of(&first) == 16
--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -106,8 +106,8 @@
         name: name.into(),
         endpoint: "127.0.0.1:1".into(),
         frame: "small".into(),
-        yard: "north".into(),
-        loaners: false,
+        zone: "north".into(),
+        spot: false,
         status: "running".into(),
         held_s: 1.0,
     }
@@ -328,9 +328,9 @@
     pub machine: ListedRig,
     run_ms: u64,
     at: usize,
-    shift: u64,
-    tally: u64,
-    baton: u64,
+    session: u64,
+    sequence: u64,
+    token: u64,
     tasks: Vec<RunningTask>,
     /// When the last answered report was sent.
     answered_ms: u64,
@@ -342,9 +342,9 @@
             machine,
             run_ms,
             at: 0,
-            shift: 1,
-            tally: 0,
-            baton: 0,
+            session: 1,
+            sequence: 0,
+            token: 0,
             tasks: Vec::new(),
             answered_ms: elapsed_ms(),
         }
@@ -354,7 +354,7 @@
     pub async fn report(&mut self, places: &[Place], log: &Mutex<WorkLog>) {
         let sent = elapsed_ms();
         self.end_tasks(sent, log);
-        self.tally += 1;
+        self.sequence += 1;
         let body = serde_json::to_value(self.message()).expect("json");
         let url = format!("http://{}/v1/report", places[self.at].public);
         match call("POST", &url, Some(body)).await {
@@ -373,12 +373,12 @@
             rig: self.machine.name.clone(),
             endpoint: self.machine.endpoint.clone(),
             frame: self.machine.frame.clone(),
-            yard: self.machine.yard.clone(),
-            loaners: self.machine.loaners,
-            shift: self.shift,
-            tally: self.tally,
-            baton: self.baton,
-            recall_s: None,
+            zone: self.machine.zone.clone(),
+            spot: self.machine.spot,
+            session: self.session,
+            sequence: self.sequence,
+            token: self.token,
+            reclaim_s: None,
             legs: self.tasks.iter().map(|t| t.leg.clone()).collect(),
         }
     }
@@ -397,7 +397,7 @@
             for task in self.tasks.drain(..) {
                 log.note_end(&task.leg.leg, &self.machine.name, false);
             }
-            self.shift += 1;
+            self.session += 1;
             self.answered_ms = now;
         }
     }
@@ -406,10 +406,10 @@
         let Ok(orders) = serde_json::from_value::<Orders>(answer) else {
             return;
         };
-        if orders.baton < self.baton {
+        if orders.token < self.token {
             return;
         }
-        self.baton = orders.baton;
+        self.token = orders.token;
         self.answered_ms = sent;
         let mut log = log.lock().expect("lock");
         for order in orders.orders {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -288,13 +288,13 @@
     let holder = w.holder(&rig).expect("held");
     w.run(3000);
     let mut late = w.workers[0].report();
-    late.tally -= 1;
+    late.sequence -= 1;
     let now = Ms(w.now);
     let node = w.nodes[holder].as_mut().expect("alive");
     assert_eq!(node.core.on_report(late, now), Reply::Unavailable);
     let mut newer = w.workers[0].report();
-    newer.tally += 1;
-    newer.baton += 1000;
+    newer.sequence += 1;
+    newer.token += 1000;
     assert_eq!(node.core.on_report(newer, now), Reply::Elsewhere(None));
     let name = node.core.my_name().to_owned();
     let report = w.workers[0].report();
@@ -341,9 +341,9 @@
     let before = queue(&w);
     // On notice the holder concludes that the unstarted tasks are free, but cannot write it.
     w.links[holder].state = Mood::Refuses;
-    w.workers[0].recall_s = Some(30.0);
+    w.workers[0].reclaim_s = Some(30.0);
     w.run(2500);
-    w.workers[0].recall_s = None;
+    w.workers[0].reclaim_s = None;
     w.workers[0].cut = true;
     // The block goes to somebody else, who may start them, and comes back.
     let mine = w.state.value("qb/grant/0000").expect("granted");
--- a/tests/support/controllers.rs
+++ b/tests/support/controllers.rs
@@ -247,7 +247,7 @@
                     None => (0..r.number.min(4))
                         .map(|_| {
                             let boot = self.slow_boot.unwrap_or(5000);
-                            self.machine(&r.frame, &r.yard, r.loaners, boot)
+                            self.machine(&r.frame, &r.zone, r.spot, boot)
                         })
                         .collect(),
                 };
--- a/tests/support/days.rs
+++ b/tests/support/days.rs
@@ -216,17 +216,17 @@
         for _ in 0..self.luck.random_range(0..4) {
             self.submitted += 1;
             let mut spec = self.world.spec(self.luck.random_range(1..24));
-            spec.vcpus = [1.0, 1.0, 2.0][self.luck.random_range(0..3)];
-            spec.crew = ["blue", "red", "guest"][self.luck.random_range(0..3)].into();
+            spec.cpus = [1.0, 1.0, 2.0][self.luck.random_range(0..3)];
+            spec.team = ["blue", "red", "guest"][self.luck.random_range(0..3)].into();
             spec.urgency = match self.luck.random_range(0..4) {
                 0 => Urgency::Urgent,
                 1 => Urgency::BestEffort,
                 _ => Urgency::Normal,
             };
-            spec.same_place = self.luck.random_bool(0.1);
+            spec.one_zone = self.luck.random_bool(0.1);
             if self.world.save_ms > 0 {
-                spec.waypoint_s = 5.0;
-                spec.stow_s = self.world.save_ms as f64 / 1000.0;
+                spec.checkpoint_s = 5.0;
+                spec.save_s = self.world.save_ms as f64 / 1000.0;
             }
             self.world.run_ms = self.luck.random_range(2000..30_000);
             let job = self.world.submit(self.submitted, spec);
@@ -293,7 +293,7 @@
                 Trouble::MachinesDeaf => worker.deaf = true,
                 Trouble::MachinesHang => worker.hung = true,
                 Trouble::MachinesSick => worker.sick = true,
-                Trouble::SpotNotice => worker.recall_s = Some(20.0),
+                Trouble::SpotNotice => worker.reclaim_s = Some(20.0),
                 Trouble::MachinesRestart => world.restart_machine(at),
                 _ => {
                     world.workers.remove(at);
@@ -324,7 +324,7 @@
             Trouble::Frozen => world.freeze(i, ms),
             Trouble::ZoneCut => {
                 let zone = ["north", "south"][i % 2];
-                let of_zone = world.workers.iter_mut().filter(|w| w.rig.yard == zone);
+                let of_zone = world.workers.iter_mut().filter(|w| w.rig.zone == zone);
                 of_zone.for_each(|w| w.only = Some(i));
                 world.links[i].peers = false;
                 world.links[i].state = Mood::Refuses;
@@ -332,7 +332,7 @@
             }
             Trouble::CloudDown => world.cloud_up = false,
             _ => world.workers.iter_mut().for_each(|w| {
-                (w.only, w.sick, w.recall_s) = (None, false, None);
+                (w.only, w.sick, w.reclaim_s) = (None, false, None);
             }),
         }
     }
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -16,24 +16,24 @@
         self.starts.iter().filter(of_job).count()
     }
 
-    pub(super) fn machine(&mut self, frame: &str, yard: &str, spot: bool, boot: u64) -> String {
+    pub(super) fn machine(&mut self, frame: &str, zone: &str, spot: bool, boot: u64) -> String {
         self.rented += 1;
         let name = format!("m-{:06}", self.rented);
         let rig = ListedRig {
             name: name.clone(),
             endpoint: String::new(),
             frame: frame.into(),
-            yard: yard.into(),
-            loaners: spot,
+            zone: zone.into(),
+            spot: spot,
             status: "running".into(),
             held_s: 0.0,
         };
         self.workers.push(Worker {
             rig,
             up_at: self.now + boot,
-            shift: 1,
-            tally: 0,
-            baton: 0,
+            session: 1,
+            sequence: 0,
+            token: 0,
             tasks: Vec::new(),
             at: self.rented as usize % self.nodes.len(),
             next_report: self.now + boot,
@@ -45,7 +45,7 @@
             hung: false,
             only: None,
             sick: false,
-            recall_s: None,
+            reclaim_s: None,
         });
         name
     }
@@ -54,7 +54,7 @@
     pub fn restart_machine(&mut self, at: usize) {
         let w = &mut self.workers[at];
         tracing::debug!(now = self.now, rig = w.rig.name, "begins anew");
-        (w.shift, w.tally, w.baton) = (1, 0, 0);
+        (w.session, w.sequence, w.token) = (1, 0, 0);
         w.tasks.clear();
         w.held = None;
         w.answered = self.now;
@@ -72,8 +72,8 @@
             return;
         }
         if now > w.answered + lease {
-            w.shift += 1;
-            w.tally = 0;
+            w.session += 1;
+            w.sequence = 0;
             w.tasks.clear();
             w.answered = now;
         }
@@ -117,7 +117,7 @@
         let w = &mut self.workers[at];
         if let Some((sent, until, node)) = w.held {
             // One report at a time: it is still waiting for this answer.
-            let (rig, number) = (w.rig.name.clone(), (w.shift, w.tally));
+            let (rig, number) = (w.rig.name.clone(), (w.session, w.sequence));
             let clock = self.clock(node);
             let reached = self.links[node].workers && !self.workers[at].cut;
             if self.frozen(node) {
@@ -147,16 +147,16 @@
             return;
         }
         w.next_report = now + report_ms;
-        w.tally += 1;
+        w.sequence += 1;
         let report = w.report();
         let node = w.at;
         tracing::debug!(
             now,
             node,
             rig = report.rig,
-            baton = report.baton,
-            shift = report.shift,
-            tally = report.tally,
+            token = report.token,
+            session = report.session,
+            sequence = report.sequence,
             "sends a report"
         );
         let reaches = w.only.is_none_or(|o| o == node);
@@ -175,7 +175,7 @@
         }
         let _span = self.span(node).entered();
         let clock = self.clock(node);
-        let (rig, number) = (report.rig.clone(), (report.shift, report.tally));
+        let (rig, number) = (report.rig.clone(), (report.session, report.sequence));
         let state_refuses = self.link(node).state == Mood::Refuses;
         let reply = match (&mut self.nodes[node], self.links[node].workers && reaches) {
             (Some(n), true) => {
@@ -222,11 +222,11 @@
         let w = &mut self.workers[at];
         w.held = None;
         match reply {
-            Reply::Orders(o) if o.baton >= w.baton => {
-                if o.baton > w.baton {
+            Reply::Orders(o) if o.token >= w.token => {
+                if o.token > w.token {
                     w.next_report = now + 500;
                 }
-                w.baton = o.baton;
+                w.token = o.token;
                 w.answered = sent;
                 self.execute(at, o.orders);
             }
@@ -249,12 +249,12 @@
                 Order::Stop {
                     leg,
                     attempt,
-                    leeway_s,
+                    grace_s,
                 } => {
                     let save_ms = self.save_ms;
                     let mut tasks = self.workers[at].tasks.iter_mut();
                     if let Some(t) = tasks.find(|t| t.leg == leg && t.attempt == attempt) {
-                        t.stop(save_ms, (leeway_s * 1000.0) as u64);
+                        t.stop(save_ms, (grace_s * 1000.0) as u64);
                     }
                 }
                 Order::Clear { leg, attempt } => {
@@ -318,12 +318,12 @@
     /// Whether a machine has CPUs for one more task; those that fetch count.
     pub(super) fn has_room(&self, at: usize, leg: &str) -> bool {
         let w = &self.workers[at];
-        let cpus = |leg: &str| self.specs.get(job_of(leg)).map_or(0.0, |s| s.vcpus);
+        let cpus = |leg: &str| self.specs.get(job_of(leg)).map_or(0.0, |s| s.cpus);
         let open = w.tasks.iter().filter(|t| t.ended.is_none());
         let used: f64 = open.map(|t| cpus(&t.leg)).sum();
         let frames = catalog().frames;
         let frame = frames.iter().find(|f| f.label == w.rig.frame);
-        frame.is_none_or(|f| used + cpus(leg) <= f.vcpus + 1e-6)
+        frame.is_none_or(|f| used + cpus(leg) <= f.cpus + 1e-6)
     }
 
     /// A task has its image and starts.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -299,9 +299,9 @@
             if let Some(n) = self.nodes[node].as_mut() {
                 tracing::debug!(
                     rig = report.rig,
-                    baton = report.baton,
-                    shift = report.shift,
-                    tally = report.tally,
+                    token = report.token,
+                    session = report.session,
+                    sequence = report.sequence,
                     "a copy arrives"
                 );
                 // Whatever is answered to a copy, nobody waits for it.
--- a/tests/support/rules.rs
+++ b/tests/support/rules.rs
@@ -47,19 +47,19 @@
             let zone = self
                 .workers
                 .iter()
-                .filter(|w| (w.rig.yard == rig.yard) == here);
+                .filter(|w| (w.rig.zone == rig.zone) == here);
             zone.flat_map(|w| &w.tasks).filter(of_job).count()
         };
         let wrong = spec
             .frames
             .as_ref()
             .is_some_and(|f| !f.contains(&rig.frame))
-            || spec.yard.as_ref().is_some_and(|y| *y != rig.yard)
-            || (rig.loaners && !spec.loaners)
-            || (spec.same_place && in_zone(false) > 0)
+            || spec.zone.as_ref().is_some_and(|y| *y != rig.zone)
+            || (rig.spot && !spec.spot)
+            || (spec.one_zone && in_zone(false) > 0)
             || (spec.spread && in_zone(true) > spec.legs.div_ceil(2) as usize);
         if wrong {
-            let what = format!("wrong_place: {name} on {} in {}", rig.name, rig.yard);
+            let what = format!("wrong_place: {name} on {} in {}", rig.name, rig.zone);
             self.broken.push(what);
         }
     }
@@ -101,7 +101,7 @@
         for w in &self.workers {
             for t in w.tasks.iter().filter(|t| t.is_on_machine()) {
                 let spec = &self.specs[job_of(&t.leg)];
-                *used.entry(spec.crew.clone()).or_default() += spec.vcpus;
+                *used.entry(spec.team.clone()).or_default() += spec.cpus;
             }
         }
         for t in &self.settings.platform.settings.teams {
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -50,9 +50,9 @@
 pub struct Worker {
     pub rig: ListedRig,
     pub up_at: u64,
-    pub shift: u64,
-    pub tally: u64,
-    pub baton: u64,
+    pub session: u64,
+    pub sequence: u64,
+    pub token: u64,
     pub tasks: Vec<Task>,
     pub at: usize,
     pub(super) next_report: u64,
@@ -71,7 +71,7 @@
     pub only: Option<usize>,
     /// It fails whatever it starts.
     pub sick: bool,
-    pub recall_s: Option<f64>,
+    pub reclaim_s: Option<f64>,
 }
 
 impl Worker {
@@ -87,12 +87,12 @@
             rig: self.rig.name.clone(),
             endpoint: String::new(),
             frame: self.rig.frame.clone(),
-            yard: self.rig.yard.clone(),
-            loaners: self.rig.loaners,
-            shift: self.shift,
-            tally: self.tally,
-            baton: self.baton,
-            recall_s: self.recall_s,
+            zone: self.rig.zone.clone(),
+            spot: self.rig.spot,
+            session: self.session,
+            sequence: self.sequence,
+            token: self.token,
+            reclaim_s: self.reclaim_s,
             legs: self.tasks.iter().map(leg).collect(),
         }
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -132,7 +132,7 @@
         let mut jobs = vec![long];
         for i in 0..nodes {
             let mut red = w.spec(5);
-            red.crew = "red".into();
+            red.team = "red".into();
             jobs.push(w.submit(10 + i as u32, red));
             upgrade(&mut w, i, 2000);
             w.run(3000);
@@ -157,7 +157,8 @@
     let mut jobs = Vec::new();
     for n in 1..=460 {
         let mut spec = w.spec(1);
-        (spec.crew, spec.vcpus, spec.ram_gb, spec.ride_s) = ("guest".into(), 0.25, 0.1, 120.0);
+        (spec.team, spec.cpus, spec.memory_gb, spec.estimate_s) =
+            ("guest".into(), 0.25, 0.1, 120.0);
         jobs.push(w.submit(n, spec));
     }
     w.until(60_000, "all run", |w| w.running() == 460);
@@ -218,7 +219,7 @@
     w.cloud_up = false;
     w.run_ms = 20_000;
     let mut spec = w.spec(900);
-    (spec.crew, spec.vcpus, spec.ram_gb, spec.ride_s) = ("guest".into(), 0.25, 0.1, 20.0);
+    (spec.team, spec.cpus, spec.memory_gb, spec.estimate_s) = ("guest".into(), 0.25, 0.1, 20.0);
     let job = w.submit(1, spec);
     w.run(10_000);
     (w, job)
@@ -239,7 +240,7 @@
     w.settings.platform.settings.state.write_rps = 8.0;
     w.run_ms = 90_000;
     let mut spec = w.spec(200);
-    spec.crew = "guest".into();
+    spec.team = "guest".into();
     let job = w.submit(1, spec);
     w.until(30_000, "all run", |w| w.running() == 200);
     let before = used_blocks(&w);
@@ -373,7 +374,7 @@
                 w.heal();
             }
             let mut spec = w.spec(luck.random_range(1..30));
-            spec.crew = ["blue", "red", "guest"][n as usize % 3].into();
+            spec.team = ["blue", "red", "guest"][n as usize % 3].into();
             let job = match jobs.last().filter(|_| luck.random_bool(0.4)) {
                 Some(last) => {
                     let last: String = String::clone(last);
@@ -428,7 +429,7 @@
             if luck.random_bool(0.3) {
                 spec.urgency = Urgency::Urgent;
             }
-            spec.crew = ["blue", "red"][n as usize % 2].into();
+            spec.team = ["blue", "red"][n as usize % 2].into();
             let named: Vec<String> = (0..luck.random_range(0..3))
                 .filter_map(|_| jobs.get(luck.random_range(0..jobs.len().max(1))).cloned())
                 .collect();
