--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -215,7 +215,7 @@
             ..MachineRuntime::default()
         };
         Reply::Orders(Orders {
-            token: token,
+            token,
             orders: Vec::new(),
         })
     }
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -24,7 +24,7 @@
             endpoint: String::new(),
             frame: frame.into(),
             zone: zone.into(),
-            spot: spot,
+            spot,
             status: "running".into(),
             held_s: 0.0,
         };
