No fixed limit below 4,000 machines: strays and agents' messages follow the fleet

Cause, by looking through all fixed bounds: a controller remembered 2,000 machines that are held elsewhere, and with more of them forgot even those; after an end of all controllers, all machines of a fleet may come to one. Messages of agents had bounds of 500 and 2,000 a round. Change: 20,000 strays, which guards the memory only, and known ones are always followed up; messages are bounded by the number of machines.

--- a/src/core/reports.rs
+++ b/src/core/reports.rs
@@ -47,7 +47,12 @@
     others.any(|l| l.status != LegStatus::Ended)
 }
 
+/// Machines remembered that report here and are held elsewhere or by nobody. It guards the memory only:
+/// after an end of all controllers every machine of a fleet may come to one of them.
+const MOST_STRAYS: usize = 20_000;
+
 impl Core {
+    /// Notes a report of a machine that is not held here.
     pub(crate) fn stray(&mut self, r: &Report, token: u64, now: Ms) {
         let fresh = StrayState {
             first: now,
@@ -58,7 +63,7 @@
             zone: r.zone.clone(),
             spot: r.spot,
         };
-        if self.strays.len() > 2000 {
+        if self.strays.len() >= MOST_STRAYS && !self.strays.contains_key(&r.rig) {
             return;
         }
         let s = self.strays.entry(r.rig.clone()).or_insert(fresh);
--- a/src/leader/rounds.rs
+++ b/src/leader/rounds.rs
@@ -4,6 +4,11 @@
 
 /// Steals that a controller sends in a round for each victim that it knows.
 const STEALS_A_VICTIM: usize = 4;
+/// Messages of agents that a controller takes at a time, within itself, for each machine; and to other
+/// controllers one for each machine. What is more is dropped: the next round asks again.
+const MESSAGES_A_MACHINE: usize = 4;
+/// A small fleet counts as so many machines.
+const FEWEST_MESSAGES: usize = 500;
 
 impl Core {
     pub(crate) fn factors(&self) -> Factors {
@@ -188,7 +193,8 @@
     /// Carries agents' messages: within this controller at once, to others with the next news.
     pub(crate) fn deliver(&mut self, send: Vec<Agent>, now: Ms) {
         let mut queue: VecDeque<Agent> = send.into();
-        for _ in 0..2000 {
+        let most = MESSAGES_A_MACHINE * self.view.machines.len().max(FEWEST_MESSAGES);
+        for _ in 0..most {
             let Some(agent) = queue.pop_front() else {
                 break;
             };
@@ -210,7 +216,7 @@
                 continue;
             };
             if holder.host != self.me {
-                if self.outbox.len() < 500 {
+                if self.outbox.len() < self.view.machines.len().max(FEWEST_MESSAGES) {
                     self.outbox.push((holder.host, agent));
                 }
                 continue;
