Jobs bound to zones have no share: beyond it they would have waited beside idle machines

Found by reading the change: what a job asks for beyond its share became a candidate of its own only if zones do not matter to it, so one of 400 tasks in one zone would have stayed at 200 at a time. Story: it and a job without rivals use the whole fleet.

--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -293,8 +293,12 @@
                 .bindable(&taken, value_bytes, encoding)
                 .take(most)
                 .collect();
+            // Zones are counted for one candidate alone: jobs bound to zones have no share.
             let open_tasks = (taken.len() - job.done.len()) as usize;
-            let share_left = self.share_tasks(job, fleet_cpus).saturating_sub(open_tasks);
+            let share_left = match placed {
+                true => usize::MAX,
+                false => self.share_tasks(job, fleet_cpus).saturating_sub(open_tasks),
+            };
             let beyond_share = tasks.split_off(share_left.min(tasks.len()));
             let candidate = Candidate {
                 job: ix,
@@ -309,7 +313,7 @@
                 early: self.goes_early(ix, job),
                 spare: false,
             };
-            if !beyond_share.is_empty() && !placed {
+            if !beyond_share.is_empty() {
                 spare.push(Candidate {
                     tasks: beyond_share,
                     spare: true,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -551,3 +551,18 @@
     assert_eq!(w.starts.len(), 24, "something was begun again");
     w.assert_kept();
 }
+
+#[test]
+fn a_job_of_one_zone_has_no_share_and_a_job_without_rivals_uses_the_whole_fleet() {
+    for one_zone in [true, false] {
+        let mut w = World::settled(41, 3, 70);
+        w.cloud_up = false;
+        w.run_ms = 60_000;
+        let mut spec = w.spec(400);
+        (spec.team, spec.cpus, spec.memory_gb) = ("guest".into(), 0.25, 0.1);
+        spec.one_zone = one_zone;
+        w.submit(1, spec);
+        w.until(30_000, "more than a share runs", |w| w.running() > 320);
+        w.assert_kept();
+    }
+}
