--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -23,8 +23,8 @@
 
 /// Workers' lease in the settings, ms.
 const LEASE_MS: u64 = 12_000;
-/// Longest wait of a worker for an answer.
-const ANSWER_WAIT: Duration = Duration::from_secs(4);
+/// Longest wait for an answer.
+const ANSWER_WAIT: Duration = Duration::from_secs(3);
 
 /// Time since the first call, ms.
 pub fn elapsed_ms() -> u64 {
