--- a/src/core/lease.rs
+++ b/src/core/lease.rs
@@ -280,7 +280,11 @@
             // Conclusions drawn under one token are worth nothing under another: in between
             // somebody else may have held the block and started what we took for unstarted. The
             // grants' stamps guard what is under way already, not what still waits to be sent.
+            let completed = self.completed_in_queue(ix);
             self.drop_machine(ix);
+            if !completed.is_empty() {
+                self.ends.insert(ix, completed);
+            }
             let runtime = MachineRuntime {
                 token,
                 since: now,
@@ -296,6 +300,19 @@
         }
     }
 
+    /// Completions of tasks that a machine's queue still lists.
+    ///
+    /// What is done stays done under any token. Guards against a task that is started once more after
+    /// its job is done: the leader records the end on this holder's word, and a holder that forgot its
+    /// own word and whose replica does not show that end yet would find the task unstarted.
+    fn completed_in_queue(&self, ix: MachineIx) -> Vec<(Entry, End)> {
+        let queue = self.view.machines.get(&ix).map(|m| &m.queue);
+        let ends = self.ends.get(&ix).into_iter().flatten();
+        let completed = ends.filter(|(_, end)| *end == End::Done);
+        let listed = completed.filter(|(entry, _)| queue.is_some_and(|q| q.contains(entry)));
+        listed.copied().collect()
+    }
+
     /// Forgets what this controller knew of a machine as its holder.
     fn drop_machine(&mut self, ix: MachineIx) {
         if let Some(runtime) = self.runtime.remove(&ix) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) use runtime::{Fails, MachineInfo, MachineRuntime, PeerState, TaskRuntime};
 
 use crate::clock::Ms;
+use crate::collections::{HashMap, HashSet};
 use crate::leader::LeaderState;
 use crate::names::{ClassIx, FrameIx, HostIx, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::queue::{Needs, Room};
@@ -38,7 +39,7 @@
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tracing::{debug, error, info, warn};
 
 /// Something for the service to do.
@@ -284,33 +285,33 @@
             lease_busy: false,
             state_bad_since: None,
             rng,
-            runtime: HashMap::new(),
-            ends: HashMap::new(),
-            running: HashMap::new(),
+            runtime: HashMap::default(),
+            ends: HashMap::default(),
+            running: HashMap::default(),
             moves: Vec::new(),
-            reserved: HashSet::new(),
+            reserved: HashSet::default(),
             unseen: Vec::new(),
-            ops: HashMap::new(),
-            op_after: HashMap::new(),
+            ops: HashMap::default(),
+            op_after: HashMap::default(),
             speed: pacing::Speed::default(),
             unheld_since: None,
             unheld_judged: 0,
             next_merge: Ms(0),
             oversized: BTreeSet::new(),
-            op_wait: HashMap::new(),
+            op_wait: HashMap::default(),
             refused_at: None,
             user_refused: None,
             woken: Vec::new(),
             wait_ledger: 0,
-            peers: HashMap::new(),
-            signs: HashMap::new(),
-            strays: HashMap::new(),
+            peers: HashMap::default(),
+            signs: HashMap::default(),
+            strays: HashMap::default(),
             withdrawn: VecDeque::new(),
-            told_over: HashSet::new(),
-            told_granted: HashMap::new(),
-            fails: HashMap::new(),
-            ratios: HashMap::new(),
-            frames: HashMap::new(),
+            told_over: HashSet::default(),
+            told_granted: HashMap::default(),
+            fails: HashMap::default(),
+            ratios: HashMap::default(),
+            frames: HashMap::default(),
             next_catalog: Ms(0),
             next_peers: Ms(0),
             peer_turn: 0,
@@ -327,7 +328,7 @@
             next_metrics: Ms(0),
             format: CURRENT_FORMAT,
             said_outdated: false,
-            older: HashMap::new(),
+            older: HashMap::default(),
             next_archived: Ms(0),
         }
     }
--- a/src/core/usage.rs
+++ b/src/core/usage.rs
@@ -13,7 +13,7 @@
         &self,
         most: impl Fn(&crate::settings::Team) -> (f64, f64),
     ) -> HashMap<TeamIx, Room> {
-        let mut room: HashMap<TeamIx, Room> = HashMap::new();
+        let mut room: HashMap<TeamIx, Room> = HashMap::default();
         for t in &self.settings.platform.settings.teams {
             if let Some(ix) = self.view.names.teams.get(&t.name) {
                 let (cpus, gpus) = most(t);
@@ -45,7 +45,7 @@
     /// Guards against a write that has no answer yet: the rest of a job that must stay together
     /// would be bound in another zone meanwhile.
     pub(crate) fn zones_of(&self) -> HashMap<JobIx, HashMap<ZoneIx, u32>> {
-        let mut zones: HashMap<JobIx, HashMap<ZoneIx, u32>> = HashMap::new();
+        let mut zones: HashMap<JobIx, HashMap<ZoneIx, u32>> = HashMap::default();
         let listed = self.view.machines.values();
         let listed = listed.flat_map(|m| m.queue.iter().map(|e| (m.zone, e)));
         let coming = self.binding().filter_map(|(ix, e)| {
--- a/src/dependencies.rs
+++ b/src/dependencies.rs
@@ -4,9 +4,9 @@
 //! beginning to its end, so what a new job asks of its predecessors is passed on upwards only as far
 //! as it changes something.
 
+use crate::collections::{HashMap, HashSet};
 use crate::names::JobIx;
 use crate::wire::Urgency;
-use std::collections::{HashMap, HashSet};
 
 /// What a job asks for on its own account.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -108,7 +108,7 @@
 
     /// All jobs that need this one, directly or through others.
     pub fn descendants(&self, job: JobIx) -> Vec<JobIx> {
-        let mut found: HashSet<JobIx> = HashSet::new();
+        let mut found: HashSet<JobIx> = HashSet::default();
         let mut order = Vec::new();
         let mut queue = vec![job];
         while let Some(next) = queue.pop() {
--- a/src/leader/binding.rs
+++ b/src/leader/binding.rs
@@ -197,14 +197,14 @@
         // The larger the world, the more a look at it costs and the less hangs on each task.
         let pause = 200 + (self.view.machines.len() + self.view.jobs.len()) as u64 / 10;
         self.lead.next_bind = now.plus(pause);
-        let mut underway: HashMap<JobIx, Vec<u32>> = HashMap::new();
+        let mut underway: HashMap<JobIx, Vec<u32>> = HashMap::default();
         for (_, e) in self.binding() {
             underway.entry(e.task.job).or_default().push(e.task.leg);
         }
         let mut teams = self.team_room();
         let guarantee: HashMap<_, _> = self.guaranteed_left();
         let mut order: Vec<(u8, bool, f64, JobIx)> = Vec::new();
-        let mut overdue: HashSet<JobIx> = HashSet::new();
+        let mut overdue: HashSet<JobIx> = HashSet::default();
         let mut first: Option<(Ms, f64, JobIx)> = None;
         for (&ix, job) in &self.view.jobs {
             if job.status != JobStatus::Pending {
@@ -287,7 +287,7 @@
                     let all = zones.get_or_insert_with(|| self.zones_of());
                     all.remove(&ix).unwrap_or_default()
                 }
-                false => HashMap::new(),
+                false => HashMap::default(),
             };
             let mut tasks: Vec<u32> = job
                 .bindable(&taken, value_bytes, encoding)
--- a/src/leader/grants.rs
+++ b/src/leader/grants.rs
@@ -44,7 +44,7 @@
         if usable.iter().any(|h| !self.lead.avoid.contains_key(h)) {
             usable.retain(|h| !self.lead.avoid.contains_key(h));
         }
-        let mut count: HashMap<HostIx, usize> = HashMap::new();
+        let mut count: HashMap<HostIx, usize> = HashMap::default();
         for (id, g) in &self.view.grants {
             if let Some(b) = self.view.blocks.get(id) {
                 *count.entry(g.host).or_default() += b.machines.len() + 1;
@@ -175,7 +175,7 @@
     /// round all controllers, whoever holds its block.
     pub(crate) fn misled_blocks(&self, now: Ms) -> HashMap<BlockId, HostIx> {
         let mut found: BTreeMap<(BlockId, HostIx), HashSet<MachineIx>> = BTreeMap::new();
-        let mut out = HashMap::new();
+        let mut out = HashMap::default();
         if !self.listened(now) {
             return out;
         }
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -68,7 +68,7 @@
         lead.removed.retain(|_, t| now.since(*t) < 120_000);
         // Machines of one zone that fall silent together are cut off, not dead.
         let lease = self.settings.worker_gone_ms();
-        let mut zones: HashMap<ZoneIx, (usize, usize)> = HashMap::new();
+        let mut zones: HashMap<ZoneIx, (usize, usize)> = HashMap::default();
         for (ix, &at) in &self.lead.heard {
             if let Some(m) = self.view.machines.get(ix) {
                 let zone = zones.entry(m.zone).or_default();
@@ -137,10 +137,10 @@
         let open = self.open_blocks(now);
         let early = match early_too {
             true => self.early_blocks(now),
-            false => HashSet::new(),
+            false => HashSet::default(),
         };
         let cheapest = self.cheapest();
-        let mut coming: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
+        let mut coming: HashMap<MachineIx, Vec<Entry>> = HashMap::default();
         for (m, e) in self.binding() {
             coming.entry(*m).or_default().push(*e);
         }
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::balance::{self, Factors, Levels, Pack, Role};
 use crate::clock::Ms;
+use crate::collections::{HashMap, HashSet};
 use crate::core::commits::Payload;
 use crate::core::endings::TXN_BYTES;
 use crate::core::{Action, Core, Move, Op, needs_of, put};
@@ -28,7 +29,7 @@
 use crate::wire::{Agent, Change, Frame, JobStatus, ListedRig, Rental, Txn, Urgency};
 use rand::Rng;
 use startups::StartTimes;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tracing::{debug, info};
 
 /// Shortest time that the cloud charges a machine for (PROTOCOL, catalog).
--- a/src/leader/preemption.rs
+++ b/src/leader/preemption.rs
@@ -12,7 +12,7 @@
         blocked: &[Candidate],
         teams: &HashMap<TeamIx, Room>,
     ) -> HashMap<MachineIx, Vec<Entry>> {
-        let mut out: HashMap<MachineIx, Vec<Entry>> = HashMap::new();
+        let mut out: HashMap<MachineIx, Vec<Entry>> = HashMap::default();
         let pressing: Vec<(&Candidate, &Job, f64)> = blocked
             .iter()
             .filter(|c| !c.tasks.is_empty() && !c.spare)
@@ -29,7 +29,7 @@
         let size: f64 = victims.iter().map(|v| v.cpus).sum();
         let mut left = self.settings.options.evict_cpus.max(size * 0.1);
         // What was marked before comes free soon and is not asked for again.
-        let mut coming: HashMap<TeamIx, f64> = HashMap::new();
+        let mut coming: HashMap<TeamIx, f64> = HashMap::default();
         let mut coming_all = 0.0;
         for m in self.view.machines.values() {
             for e in &m.evict {
@@ -88,7 +88,7 @@
 
     /// Tasks that may be stopped at all, those whose jobs have most time left first.
     fn evictable(&self) -> Vec<Victim> {
-        let mut ranks: HashMap<JobIx, Option<Victim>> = HashMap::new();
+        let mut ranks: HashMap<JobIx, Option<Victim>> = HashMap::default();
         let mut victims: Vec<Victim> = Vec::new();
         for (&machine, m) in self.view.machines.iter().filter(|m| !m.1.leaving) {
             for e in m.queue.iter().filter(|e| !m.evict.contains(e)) {
--- a/src/leader/renting.rs
+++ b/src/leader/renting.rs
@@ -300,7 +300,7 @@
         if self.leads().is_none() {
             return;
         }
-        let mut shown: HashSet<MachineIx> = HashSet::new();
+        let mut shown: HashSet<MachineIx> = HashSet::default();
         for rig in list {
             let known = self.view.names.machines.get(&rig.name);
             let here = known.filter(|m| self.view.machines.contains_key(m));
--- a/src/leader/rounds.rs
+++ b/src/leader/rounds.rs
@@ -29,7 +29,7 @@
         let period = (self.settings.options.balance_period_s * 1000.0) as u64;
         self.next_round = now.plus(period);
         self.publish_loads(now, out);
-        let mut loads: HashMap<MachineIx, f64> = HashMap::new();
+        let mut loads: HashMap<MachineIx, f64> = HashMap::default();
         // The mean goes over everybody's totals, also of machines that are not named.
         let (mut count, mut sum) = (0, 0.0);
         for (host, totals) in &self.view.loads {
@@ -61,8 +61,8 @@
         all.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
         let heavy = all.iter().filter(|l| levels.role(l.1) == Role::Victim);
         let mut round = Round {
-            packs: HashMap::new(),
-            steals: HashMap::new(),
+            packs: HashMap::default(),
+            steals: HashMap::default(),
             victims: heavy.copied().collect(),
             all,
             loads,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod api;
 pub mod balance;
 pub mod clock;
+pub mod collections;
 pub mod core;
 pub mod dependencies;
 pub mod fleet;
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -1,10 +1,10 @@
 //! Binding: which unbound task joins which machine's queue. Pure.
 
+use crate::collections::{HashMap, HashSet};
 use crate::names::{FrameIx, ImageIx, JobIx, MachineIx, TeamIx, ZoneIx};
 use crate::wire::Frame;
 use rand::Rng;
 use rand::seq::index;
-use std::collections::{HashMap, HashSet};
 
 /// CPUs, GPUs and memory.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -236,7 +236,7 @@
     rng: &mut impl Rng,
 ) -> Vec<Binding> {
     let mut out = Vec::new();
-    let mut held: HashSet<TeamIx> = HashSet::new();
+    let mut held: HashSet<TeamIx> = HashSet::default();
     let mut kept = vec![false; slots.len()];
     // Queues only fill up during a plan: what has room for no job's tasks is not looked at again,
     // and a job that needs no less than one that found no room finds none either.
--- a/src/queue/tests.rs
+++ b/src/queue/tests.rs
@@ -19,7 +19,7 @@
         used: Room::default(),
         load: 0.0,
         fetch_gb_per_s: 0.5,
-        warm: HashSet::new(),
+        warm: HashSet::default(),
         dear: false,
         closed: false,
         early: false,
@@ -50,7 +50,7 @@
         needs,
         run_s: 10.0,
         tasks: (0..n).collect(),
-        zones: HashMap::new(),
+        zones: HashMap::default(),
         overdue: false,
         early: false,
         spare: false,
@@ -67,7 +67,7 @@
 
 /// Plans for one team that may use so many CPUs more.
 fn plan_all(slots: &mut [Slot], jobs: &mut [Candidate], cpus: f64) -> Vec<Binding> {
-    let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(cpus))]);
+    let mut teams = HashMap::from_iter([(TeamIx::from_raw(0), Room::from_cpus(cpus))]);
     let mut rng = SmallRng::seed_from_u64(1);
     plan(slots, jobs, &mut teams, LIMITS, &mut rng)
 }
@@ -128,7 +128,7 @@
     // A large dear machine was held to the end of the day for the longest of its tasks.
     let mut slots = [slot(0, 0, 2.0), slot(1, 0, 8.0)];
     slots[1].dear = true;
-    let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(99.0))]);
+    let mut teams = HashMap::from_iter([(TeamIx::from_raw(0), Room::from_cpus(99.0))]);
     let mut short = job(4, needs());
     (short.job, short.run_s) = (JobIx::from_raw(1), 5.0);
     let mut jobs = [job(4, needs()), short];
@@ -155,7 +155,7 @@
         (slots[0].dear, slots[0].closed) = (dear, closed);
         let mut waiting = job(3, needs());
         waiting.overdue = overdue;
-        let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(99.0))]);
+        let mut teams = HashMap::from_iter([(TeamIx::from_raw(0), Room::from_cpus(99.0))]);
         let mut rng = SmallRng::seed_from_u64(1);
         // One that is not overdue has found nothing before it.
         let mut jobs = [job(3, needs()), waiting];
@@ -208,7 +208,7 @@
         ahead_s: 0.0,
         ..LIMITS
     };
-    let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(100.0))]);
+    let mut teams = HashMap::from_iter([(TeamIx::from_raw(0), Room::from_cpus(100.0))]);
     let mut rng = SmallRng::seed_from_u64(1);
     let bound = plan(
         &mut slots,
@@ -235,7 +235,7 @@
         scarce_s: 2.0,
         ..LIMITS
     };
-    let mut teams = HashMap::from([(TeamIx::from_raw(0), Room::from_cpus(100.0))]);
+    let mut teams = HashMap::from_iter([(TeamIx::from_raw(0), Room::from_cpus(100.0))]);
     let mut rng = SmallRng::seed_from_u64(1);
     let bound = plan(
         &mut slots,
--- a/src/view.rs
+++ b/src/view.rs
@@ -3,6 +3,7 @@
 //! Everything that changes together stands under one prefix and is watched as one stream, so
 //! the replica is a consistent past of the whole: it may lag, but it never shows half a change.
 
+use crate::collections::HashMap;
 use crate::dependencies::DependencyGraph;
 use crate::names::{
     ClassIx, FrameIx, HostIx, ImageIx, Index, Interner, JobIx, MachineIx, TeamIx, ZoneIx,
@@ -12,7 +13,7 @@
     DENSE_FORMAT, DoneTasks, Encoding, FormatRecord, JobRecord, LoadRecord, NodeRecord, OwnerRecord,
 };
 use crate::wire::{Change, Item, JobStatus, Json, News, Txn};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 mod blocks;
@@ -239,7 +240,7 @@
     /// Guards against a read that was under way while this controller wrote: what it wrote is newer,
     /// and without it a task that had just been bound would count as unbound.
     pub fn load(&mut self, items: Vec<Item>, ledger: u64) {
-        let mut keep: std::collections::HashSet<String> = Default::default();
+        let mut keep: crate::collections::HashSet<String> = Default::default();
         // Jobs come first, for blocks speak of them.
         let (jobs, rest): (Vec<Item>, Vec<Item>) =
             items.into_iter().partition(|i| i.k.starts_with(JOBS));
--- a/src/view/blocks.rs
+++ b/src/view/blocks.rs
@@ -2,11 +2,12 @@
 //! keys are to have.
 
 use super::{Block, BlockId, Entry, Machine, TaskIx, View};
+use crate::collections::HashMap;
 use crate::names::{FrameIx, JobIx, MachineIx, ZoneIx};
 use crate::ranges::RangeSet;
 use crate::records::{BlockRecord, Listing, MachineRecord};
 use crate::wire::JobStatus;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// A block's content while a change of it is put together.
 #[derive(Debug, Clone, Default)]
@@ -78,7 +79,7 @@
             }
         }
         if let Some(before) = before {
-            let there: std::collections::HashSet<MachineIx> = machines.iter().copied().collect();
+            let there: crate::collections::HashSet<MachineIx> = machines.iter().copied().collect();
             self.drop_block(before, |m| there.contains(&m), id);
         }
         self.touched.blocks.insert(id);
@@ -235,7 +236,7 @@
 impl<K> Default for Table<K> {
     fn default() -> Self {
         Self {
-            places: HashMap::new(),
+            places: HashMap::default(),
             keys: Vec::new(),
         }
     }
--- a/src/view/waiting.rs
+++ b/src/view/waiting.rs
@@ -4,11 +4,11 @@
 //! waits takes no room, no turn and no part of a limit, whatever version leads.
 
 use super::{Job, View};
+use crate::collections::HashMap;
 use crate::dependencies::OwnDemand;
 use crate::names::JobIx;
 use crate::records::WaitingRecord;
 use crate::wire::{JobSpec, JobStatus};
-use std::collections::HashMap;
 use std::sync::Arc;
 
 /// A job that waits for others.
--- a/tests/double_starts.rs
+++ b/tests/double_starts.rs
@@ -88,6 +88,38 @@
     format!("{name}/{task}")
 }
 
+/// Completions that a holder has heard of count for it when its block is granted anew. It used to
+/// forget them with the token, and started the tasks of a job that its leader had recorded as done on
+/// its word (search, seed 12151).
+#[test]
+fn a_completion_is_not_forgotten_when_the_block_is_granted_anew() {
+    let (mut w, job) = World::busy(1, 3, 60_000);
+    let at = w.workers.iter().position(|m| !m.tasks.is_empty());
+    let at = at.expect("something runs");
+    let rig = w.workers[at].rig.name.clone();
+    let holder = w.holder(&rig).expect("held");
+    let begun = w.starts_of(&job);
+    // The tasks end, and the worker's lease with them: only a copy of its report arrives.
+    let mut copy = w.workers[at].report();
+    for leg in &mut copy.legs {
+        (leg.status, leg.cause) = (LegStatus::Ended, Some(Cause::Done));
+    }
+    copy.sequence += 1;
+    let worker = &mut w.workers[at];
+    worker.tasks.clear();
+    (worker.session, worker.sequence) = (worker.session + 1, 0);
+    let clock = w.clock(holder);
+    let node = w.nodes[holder].as_mut().expect("alive");
+    node.core.on_report(copy, clock);
+    // Before that is recorded, the block is granted to the same holder once more.
+    let key = block_of(&w, &rig).0.replace("block", "grant");
+    let grant = w.state.value(&key).expect("granted");
+    w.state.overwrite(&key, &grant);
+    w.run(10_000);
+    assert_eq!(w.starts_of(&job), begun);
+    w.assert_kept();
+}
+
 /// Machines whose blocks the leader does not hold.
 fn held_by_others(w: &World, leader: usize) -> Vec<usize> {
     let others = |&at: &usize| w.holder(&w.workers[at].rig.name) != Some(leader);
--- a/tests/search.rs
+++ b/tests/search.rs
@@ -22,6 +22,15 @@
     }
 }
 
+/// A failure that a search finds can be played again, and traced.
+#[test]
+fn a_day_is_the_same_each_time_it_is_played() {
+    let once = play(plan(5)).expect("the rules are kept");
+    let again = play(plan(5)).expect("the rules are kept");
+    assert!(once.starts.len() > 50, "{} starts", once.starts.len());
+    assert_eq!(once, again);
+}
+
 /// Plays days from `SEARCH_FROM` on, as many as `SEARCH_DAYS` says, with so many machines as
 /// `SEARCH_MACHINES` says if it is set.
 #[test]
--- a/tests/support/days.rs
+++ b/tests/support/days.rs
@@ -124,8 +124,17 @@
     log: Vec<(u64, String)>,
 }
 
+/// What a day came to: the same for every play of one plan.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DayResult {
+    /// Revision of the state service at the end.
+    pub revision: u64,
+    /// All starts of tasks: time, task, machine.
+    pub starts: Vec<(u64, String, String)>,
+}
+
 /// Plays a day; the rules that were broken, with what had happened before.
-pub fn play(plan: DayPlan) -> Result<(), Vec<String>> {
+pub fn play(plan: DayPlan) -> Result<DayResult, Vec<String>> {
     let mut day = Day::new(plan);
     for _ in 0..plan.troubles {
         day.submit_some();
@@ -146,7 +155,10 @@
     day.world.cloud_up = true;
     day.world.run(30_000);
     match day.world.broken.is_empty() {
-        true => Ok(()),
+        true => Ok(DayResult {
+            revision: day.world.state.ledger(),
+            starts: std::mem::take(&mut day.world.starts),
+        }),
         false => Err(day.report()),
     }
 }
