--- a/crates/spillover/src/policy.rs
+++ b/crates/spillover/src/policy.rs
@@ -237,12 +237,11 @@
     let team = status.teams.iter().find(|t| t.name == job.team)?;
     let within = |most: Option<f64>, needed: f64| most.is_none_or(|most| needed <= most + 1e-6);
     let allowed = within(team.cpus, job.task.cpus) && within(team.gpus, job.task.gpus);
-    // What a job has running at a time is bounded by its team's limit there.
-    let at_a_time = team.cpus.map_or(job.cpus(), |most| most.min(job.cpus()));
+    // It begins where one task has room, and goes on as more comes free.
     let room_cpus = status
         .room_cpus
         .min(team.free_cpus.unwrap_or(f64::INFINITY));
-    let has_room = promised + at_a_time <= room_cpus + 1e-6;
+    let has_room = promised + job.task.cpus <= room_cpus + 1e-6;
     let lends_itself = status.lent_classes.contains(&job.class);
     if !allowed || !has_room || lends_itself {
         return None;
--- a/src/core/merging.rs
+++ b/src/core/merging.rs
@@ -41,13 +41,13 @@
 
     /// Writes two small blocks held here as one, now and then.
     pub(super) fn tick_merge(&mut self, now: Ms, out: &mut Vec<Action>) {
-        let due = now >= self.next_merge
-            && self.view.encoding() == Encoding::Dense
-            && self.used_blocks() > self.bearable_blocks();
-        if !due {
+        if now < self.next_merge || self.view.encoding() != Encoding::Dense {
             return;
         }
         self.next_merge = now.plus(MERGE_MS);
+        if self.used_blocks() <= self.bearable_blocks() {
+            return;
+        }
         let Some((kept, emptied)) = self.choose_merge(now) else {
             return;
         };
@@ -107,11 +107,8 @@
         let (mut draft, mut payload) = self.draft_without_ended(kept);
         let (other, other_payload) = self.draft_without_ended(emptied);
         draft.machines.extend(other.machines);
-        for (job, tasks) in other.done {
-            match draft.done.iter_mut().find(|d| d.0 == job) {
-                Some((_, known)) => known.union(&tasks),
-                None => draft.done.push((job, tasks)),
-            }
+        for (job, tasks) in &other.done {
+            draft.absorb_done(*job, tasks);
         }
         payload.blocks.extend(other_payload.blocks);
         payload.ends.extend(other_payload.ends);
--- a/src/jobs/chained.rs
+++ b/src/jobs/chained.rs
@@ -120,12 +120,9 @@
     named: Vec<(String, Predecessor)>,
     settings: &Settings,
 ) -> Result<Acceptance, ChainError> {
-    let unknown = named.iter().find(|n| n.1 == Predecessor::Unwatched);
-    if let Some((unknown, _)) = unknown {
-        return Err(ChainError::NeverAccepted(unknown.clone()));
-    }
-    if named.iter().any(|n| n.1 == Predecessor::Withdrawn) {
-        return Ok(Acceptance::Withdrawn(accept_withdrawn(name, record)));
+    if names_withdrawn(&named)? {
+        let txn = accept_withdrawn(name, record, absent(name));
+        return Ok(Acceptance::Withdrawn(txn));
     }
     let mut predecessors = Vec::new();
     let mut guards = absent(name);
@@ -161,13 +158,20 @@
     }
 }
 
-/// The transaction that accepts a job which is cancelled already.
-fn accept_withdrawn(name: &str, mut record: JobRecord) -> Txn {
-    record.status = JobStatus::Withdrawn;
-    Txn {
-        guards: absent(name),
-        then: vec![put(&past_key(name), &record, None)],
+/// Whether a job that a submission names was cancelled. All that it names must have been accepted.
+pub(super) fn names_withdrawn(named: &[(String, Predecessor)]) -> Result<bool, ChainError> {
+    let unknown = named.iter().find(|n| n.1 == Predecessor::Unwatched);
+    if let Some((unknown, _)) = unknown {
+        return Err(ChainError::NeverAccepted(unknown.clone()));
     }
+    Ok(named.iter().any(|n| n.1 == Predecessor::Withdrawn))
+}
+
+/// The transaction that accepts a job which is cancelled already, under these conditions.
+pub(super) fn accept_withdrawn(name: &str, mut record: JobRecord, guards: Vec<Guard>) -> Txn {
+    record.status = JobStatus::Withdrawn;
+    let then = vec![put(&past_key(name), &record, None)];
+    Txn { guards, then }
 }
 
 /// The transaction that cancels a job which waits, as it was read at `stamp`. It races in the same
--- a/src/jobs/gradual.rs
+++ b/src/jobs/gradual.rs
@@ -6,12 +6,15 @@
 //! has not been told that it is accepted, nobody knows it, and it never becomes ready. One that its user
 //! has given up is dropped by the leader.
 
-use super::chained::{ChainError, GUARDS_PER_CHANGE, Predecessor, absent, new_waiting_record};
+use super::chained::{
+    ChainError, GUARDS_PER_CHANGE, Predecessor, absent, accept_withdrawn, names_withdrawn,
+    new_waiting_record,
+};
 use crate::core::put;
 use crate::records::{JobRecord, NameList, WaitingRecord};
 use crate::settings::Settings;
-use crate::view::{past_key, waiting_key};
-use crate::wire::{Change, Guard, JobStatus, Txn};
+use crate::view::waiting_key;
+use crate::wire::{Change, Guard, Txn};
 
 /// An incomplete job as it is stored.
 #[derive(Debug, Clone, Copy)]
@@ -41,10 +44,7 @@
     stored: Option<Stored>,
     settings: &Settings,
 ) -> Result<Step, ChainError> {
-    if let Some((unknown, _)) = named.iter().find(|n| n.1 == Predecessor::Unwatched) {
-        return Err(ChainError::NeverAccepted(unknown.clone()));
-    }
-    if named.iter().any(|n| n.1 == Predecessor::Withdrawn) {
+    if names_withdrawn(named)? {
         return Ok(Step::Withdrawn(withdrawn(name, record, stored)));
     }
     let held = stored.map_or(&[][..], |s| s.record.predecessors.names());
@@ -91,17 +91,12 @@
 
 /// The transaction that accepts a job which is cancelled already, and drops what was stored of it.
 fn withdrawn(name: &str, record: &JobRecord, stored: Option<Stored>) -> Txn {
-    let record = JobRecord {
-        status: JobStatus::Withdrawn,
-        ..record.clone()
-    };
-    let mut then = vec![put(&past_key(name), &record, None)];
+    let mut txn = accept_withdrawn(name, record.clone(), own_guards(name, stored));
     if stored.is_some() {
         let drop = waiting_key(name);
-        then.push(Change::Drop { drop });
+        txn.then.push(Change::Drop { drop });
     }
-    let guards = own_guards(name, stored);
-    Txn { guards, then }
+    txn
 }
 
 #[cfg(test)]
--- a/src/spillover/borrowing.rs
+++ b/src/spillover/borrowing.rs
@@ -13,6 +13,8 @@
 const IDLE_ASK_MS: u64 = 5000;
 /// Pause after a question without an answer, ms.
 const RETRY_MS: u64 = 400;
+/// The same while nothing is borrowed, ms.
+const IDLE_RETRY_MS: u64 = 2500;
 
 impl Core {
     /// Takes note of the loans that the replica shows.
@@ -125,7 +127,12 @@
             false => &mut link.origin,
         };
         let Some(CellAnswer::Standings(standings)) = answer else {
-            contact.on_failure(now.0, RETRY_MS);
+            let pause_ms = if told.is_empty() {
+                IDLE_RETRY_MS
+            } else {
+                RETRY_MS
+            };
+            contact.on_failure(now.0, pause_ms);
             return;
         };
         contact.on_answer(sent.0);
--- a/src/spillover/serving.rs
+++ b/src/spillover/serving.rs
@@ -323,9 +323,7 @@
         let status = self.cell_status(now);
         let team = status.teams.iter().find(|t| t.name == offer.spec.team);
         let most = |limit: Option<f64>| limit.unwrap_or(f64::INFINITY);
-        let limit = team.map_or(0.0, |t| most(t.cpus));
         let room = team.map_or(0.0, |t| status.room_cpus.min(most(t.free_cpus)));
-        let cpus = (f64::from(offer.spec.legs) * offer.spec.cpus).min(limit);
         if !settings.borrow {
             Some(Reason::BorrowsNothing)
         } else if (lease_s * 1000.0) as u64 > offer.terms.worker_lease_ms {
@@ -334,7 +332,7 @@
             Some(Reason::NeverRuns)
         } else if !reached {
             Some(Reason::Unreachable)
-        } else if room + 1e-6 < cpus || status.lent_classes.contains(&offer.spec.class) {
+        } else if room + 1e-6 < offer.spec.cpus || status.lent_classes.contains(&offer.spec.class) {
             Some(Reason::NoRoom)
         } else {
             None
--- a/src/view/blocks.rs
+++ b/src/view/blocks.rs
@@ -21,14 +21,23 @@
 impl Draft {
     /// Notes that a task was done here.
     pub fn note_done(&mut self, task: TaskIx) {
-        match self.done.iter_mut().find(|d| d.0 == task.job) {
-            Some((_, tasks)) => tasks.insert(task.leg),
+        self.done_of(task.job).insert(task.leg);
+    }
+
+    /// Notes that these tasks of a job were done here.
+    pub fn absorb_done(&mut self, job: JobIx, tasks: &RangeSet) {
+        self.done_of(job).union(tasks);
+    }
+
+    fn done_of(&mut self, job: JobIx) -> &mut RangeSet {
+        let at = match self.done.iter().position(|d| d.0 == job) {
+            Some(at) => at,
             None => {
-                let mut tasks = RangeSet::new();
-                tasks.insert(task.leg);
-                self.done.push((task.job, tasks));
+                self.done.push((job, RangeSet::new()));
+                self.done.len() - 1
             }
-        }
+        };
+        &mut self.done[at].1
     }
 }
 
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -259,6 +259,42 @@
     });
 }
 
+#[test]
+fn a_bad_spillover_file_ends_the_program_with_one_line() {
+    let write = |name: &str, text: &str| {
+        let id = std::process::id();
+        let file = std::env::temp_dir().join(format!("quillbend-spillover-{id}-{name}"));
+        std::fs::write(&file, text).expect("written");
+        file
+    };
+    let config = write("platform.toml", support::PLATFORM);
+    let example = include_str!("../deploy/spillover.xml");
+    for (name, text, named) in [
+        ("good.xml", example.to_owned(), ""),
+        (
+            "bad.xml",
+            example.replace("lease-s=\"12\" ask", "lease-s=\"24\" ask"),
+            "loan/lease-s",
+        ),
+    ] {
+        let file = write(name, &text);
+        let out = Command::new(env!("CARGO_BIN_EXE_quillbend"))
+            .args(["--check", "--spillover"])
+            .arg(&file)
+            .arg("--config")
+            .arg(&config)
+            .output()
+            .expect("starts");
+        let _ = std::fs::remove_file(&file);
+        let errors = String::from_utf8_lossy(&out.stderr).trim().to_owned();
+        let lines = usize::from(!named.is_empty());
+        assert_eq!(out.status.success(), named.is_empty(), "{errors}");
+        assert!(errors.contains(named), "{errors}");
+        assert_eq!(errors.lines().count(), lines, "{errors}");
+    }
+    let _ = std::fs::remove_file(&config);
+}
+
 #[test]
 fn bad_settings_end_the_program_with_one_line() {
     let file = std::env::temp_dir().join(format!("quillbend-bad-{}.toml", std::process::id()));
--- a/tests/support/cells.rs
+++ b/tests/support/cells.rs
@@ -102,6 +102,8 @@
             let others: Vec<usize> = all.iter().copied().filter(|&o| o != cell).collect();
             let nodes = world.nodes.len();
             world.settings.spillover = Some(spillover_settings(cell, &others, nodes));
+            // What is over leaves the watched keys at once.
+            world.settings.options.jobs_kept = 0.0;
             // What is there stays there.
             world.settings.options.fleet_idle_s = 3600.0;
             (0..nodes).for_each(|i| world.start(i));
@@ -197,6 +199,16 @@
         jobs.iter().map(|job| self.cells[cell].starts_of(job)).sum()
     }
 
+    /// Restarts all controllers of a cell with other settings.
+    pub fn restart_with(&mut self, cell: usize, change: impl FnOnce(&mut SpilloverSettings)) {
+        let world = &mut self.cells[cell];
+        change(world.settings.spillover.as_mut().expect("turned on"));
+        for i in 0..world.nodes.len() {
+            world.crash(i);
+            world.start(i);
+        }
+    }
+
     /// Cuts a cell from all others, in both directions.
     pub fn cut_off(&mut self, cell: usize) {
         for other in 0..self.cells.len() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -21,6 +21,7 @@
 mod machines;
 pub mod occupancy;
 mod rules;
+pub mod search;
 mod state;
 mod users;
 mod worker;
