Only questions about loans are taken in the name of the own cell

Need: a request that names this cell as its sender is a relayed question; an offer in its name was judged and its refusal recorded under the job's name. Change: such a request is refused as one of an unknown cell, counted and logged (story of unknown cells).

--- a/src/spillover/serving.rs
+++ b/src/spillover/serving.rs
@@ -50,7 +50,9 @@
         source: Option<IpAddr>,
     ) -> Option<CellAnswer> {
         let settings = &self.spillover.settings;
-        let own = request.from == settings.cell && self.spillover.is_on();
+        // Controllers of this cell ask each other only for what they know of loans.
+        let relayed = matches!(request.body, RequestBody::Confirm { .. });
+        let own = relayed && self.spillover.is_on() && request.from == settings.cell;
         let cell = settings.cell_named(&request.from);
         let allowed = |ip: IpAddr| cell.is_some_and(|cell| cell.may_send_from(ip));
         let known = own || (cell.is_some() && source.is_none_or(allowed));
--- a/tests/spillover.rs
+++ b/tests/spillover.rs
@@ -419,10 +419,11 @@
         |version, from: &str| node.core.refuse_cell_request(&request(version, from), None);
     assert_eq!(refuse(VERSION, "south"), refused(Refusal::UnknownCell));
     assert_eq!(refuse(VERSION, ""), refused(Refusal::UnknownCell));
+    assert_eq!(refuse(VERSION, "north"), refused(Refusal::UnknownCell));
     assert_eq!(refuse(VERSION + 1, "east"), refused(Refusal::Version));
     assert_eq!(refuse(VERSION, "east"), None);
     let page = node.core.status_page(quillbend::clock::Ms(0));
-    assert_eq!(page["spillover"]["counters"]["rejected"], 3);
+    assert_eq!(page["spillover"]["counters"]["rejected"], 4);
 }
 
 /// Troubles of all kinds by chance, on every side.
