Transfers are written in transactions that the state service takes

Cause, found on reading: what comes home, is called back or given up was put into one transaction up to the number of changes alone; with large specifications it could pass 64 KiB and would have been refused as malformed and planned again for ever. Change: one batch for all four, bounded by changes and by bytes (unit test).

--- a/src/spillover/borrowing.rs
+++ b/src/spillover/borrowing.rs
@@ -150,25 +150,25 @@
     /// Gives up loans of which the lender says that they stand no more. Their tasks are stopped then
     /// as those of any job that is over.
     pub(crate) fn plan_ended_loans(&self) -> Option<Txn> {
-        let most = self.settings.platform.settings.state.txn_ops;
-        let mut txn = Txn::default();
+        let mut batch = self.transfer_batch();
         for (ix, job) in self.view.transferred() {
             let name = self.view.names.jobs.name(ix);
             let over = job.borrowed().is_some_and(|mark| {
                 let confirmations = &self.spillover.confirmations;
                 confirmations.is_over(name, mark.token)
             });
-            if !over || job.status != JobStatus::Pending || txn.then.len() >= most {
+            if !over || job.status != JobStatus::Pending {
                 continue;
             }
             let done = self.view.done_tasks(job.done.clone());
             let mut record = job.record(done, JobStatus::Withdrawn);
             record.shorten(self.settings.value_bytes());
             let key = job_key(name);
-            txn.guards.push(self.guard(&key));
-            txn.then.push(put(&key, &record, None));
+            if !batch.add(self.guard(&key), put(&key, &record, None)) {
+                break;
+            }
         }
-        (!txn.then.is_empty()).then_some(txn)
+        batch.finish()
     }
 
     /// Whether a job may leave the watched keys, as far as transfers go: its lender must have taken
--- a/src/spillover/lending.rs
+++ b/src/spillover/lending.rs
@@ -1,9 +1,8 @@
 //! The lender's side: the leader lends jobs, offers them, calls them back and takes them back.
 
-use super::{CellCall, Core, LentLoan};
+use super::{Batch, CellCall, Core, LentLoan};
 use crate::clock::Ms;
 use crate::core::commits::Payload;
-use crate::core::endings::TXN_BYTES;
 use crate::core::{Action, put};
 use crate::names::JobIx;
 use crate::ranges::RangeSet;
@@ -90,25 +89,28 @@
             due.then(|| (mark.cell.clone(), expired))
         };
         let jobs = self.view.transferred();
-        let due: Vec<_> = jobs
-            .filter_map(|(ix, job)| Some((ix, home(self, ix, job)?)))
-            .take(self.settings.platform.settings.state.txn_ops)
-            .collect();
-        let mut txn = Txn::default();
+        let due = jobs.filter_map(|(ix, job)| Some((ix, home(self, ix, job)?)));
+        let due: Vec<_> = due.collect();
+        let mut batch = self.transfer_batch();
         for (ix, (cell, expired)) in due {
             let name = self.view.names.jobs.name(ix).to_owned();
             let Some(change) = self.homecoming(ix, &RangeSet::new()) else {
                 continue;
             };
+            if !batch.add(self.guard(&job_key(&name)), change) {
+                break;
+            }
             tracing::info!(job = name, cell, expired, "a loan comes home");
             self.spillover.counters.expired += u64::from(expired);
             self.spillover.counters.returned += u64::from(!expired);
             let until = now.plus(BARRED_MS);
-            self.spillover.barred.insert((name.clone(), cell), until);
-            txn.guards.push(self.guard(&job_key(&name)));
-            txn.then.push(change);
+            self.spillover.barred.insert((name, cell), until);
         }
-        (!txn.then.is_empty()).then_some(txn)
+        batch.finish()
+    }
+
+    pub(super) fn transfer_batch(&self) -> Batch {
+        Batch::new(self.settings.platform.settings.state.txn_ops)
     }
 
     /// The write that makes a lent job an ordinary one again; these tasks were done elsewhere.
@@ -131,8 +133,7 @@
             true => 0.0,
             false => self.spillover.idle_cpus,
         };
-        let most = self.settings.platform.settings.state.txn_ops;
-        let mut txn = Txn::default();
+        let mut batch = self.transfer_batch();
         for (ix, job) in self.view.transferred() {
             let Some(mark) = job.lent().filter(|mark| !mark.recalled) else {
                 continue;
@@ -141,7 +142,7 @@
             let Some(loan) = self.spillover.lent.get(name) else {
                 continue;
             };
-            if job.status != JobStatus::Pending || txn.then.len() >= most {
+            if job.status != JobStatus::Pending {
                 continue;
             }
             let state = LoanState {
@@ -155,19 +156,22 @@
             if why.is_none() && !loan.declined {
                 continue;
             }
-            tracing::info!(job = name, cell = mark.cell, ?why, "calling a loan back");
-            room_cpus -= cpus;
             let done = self.view.done_tasks(job.stored.clone());
             let mut record = job.record(done, JobStatus::Pending);
             if let Some(crate::records::Transfer::Lent(mark)) = record.transfer.as_deref_mut() {
                 mark.recalled = true;
             }
             let key = job_key(name);
-            txn.guards.push(self.guard(&key));
-            txn.then.push(put(&key, &record, None));
+            if !batch.add(self.guard(&key), put(&key, &record, None)) {
+                break;
+            }
+            tracing::info!(job = name, cell = mark.cell, ?why, "calling a loan back");
+            room_cpus -= cpus;
         }
-        self.spillover.counters.recalled += txn.then.len() as u64;
-        (!txn.then.is_empty()).then_some(txn)
+        let txn = batch.finish();
+        let recalled = txn.as_ref().map_or(0, |txn| txn.then.len());
+        self.spillover.counters.recalled += recalled as u64;
+        txn
     }
 
     /// Whether a job may be lent: it is ordinary, nothing of it has begun or is about to, and no other
@@ -210,17 +214,14 @@
         };
         let choices = policy::choose(&jobs, &waits, &borrowers, &policy, barred);
         let token = TransferToken(self.view.latest());
-        let most = self.settings.platform.settings.state.txn_ops;
-        let (mut txn, mut payload) = (Txn::default(), Payload::default());
-        let mut size = 0;
-        for choice in choices.into_iter().take(most) {
+        let (mut batch, mut payload) = (self.transfer_batch(), Payload::default());
+        for choice in choices {
             let (job, borrower) = (&jobs[choice.position], &borrowers[choice.borrower]);
             let place = places[choice.borrower];
             let Some((ix, change)) = self.loan_of(&job.name, place, token) else {
                 continue;
             };
-            size += change.value_bytes();
-            if size > TXN_BYTES {
+            if !batch.add(self.guard(&job_key(&job.name)), change) {
                 break;
             }
             let (wait_s, there_s) = (waits[choice.position], borrower.status.wait_s);
@@ -233,11 +234,9 @@
             );
             self.spillover.cells[place].promised_cpus += job.cpus();
             payload.lent.push(ix);
-            txn.guards.push(self.guard(&job_key(&job.name)));
-            txn.then.push(change);
         }
-        self.spillover.counters.lent += txn.then.len() as u64;
-        (!txn.then.is_empty()).then_some((txn, payload))
+        self.spillover.counters.lent += payload.lent.len() as u64;
+        batch.finish().map(|txn| (txn, payload))
     }
 
     /// The write that lends a job to the cell at a place in the settings.
--- a/src/spillover/mod.rs
+++ b/src/spillover/mod.rs
@@ -17,11 +17,12 @@
 
 use crate::clock::Ms;
 use crate::collections::HashMap;
+use crate::core::endings::TXN_BYTES;
 use crate::core::{Action, Core};
 use crate::names::JobIx;
 use crate::records::SPILLOVER_FORMAT;
 use crate::view::Job;
-use crate::wire::{HeardLoan, JobSpec};
+use crate::wire::{Change, Guard, HeardLoan, JobSpec, Txn};
 use quillbend_spillover::confirmation::{Confirmations, Permission};
 use quillbend_spillover::contact::Contact;
 use quillbend_spillover::message::{CellAnswer, CellStatus, LoanId, RequestBody, VERSION};
@@ -29,9 +30,49 @@
 use quillbend_spillover::settings::SpilloverSettings;
 use std::collections::BTreeMap;
 
+/// Bytes that a change and its condition take besides the value.
+const SPARE_BYTES: usize = 400;
+
 /// A request to another cell, with our specifications of jobs.
 pub type CellRequest = quillbend_spillover::message::CellRequest<JobSpec>;
 
+/// A transaction of several jobs' keys, within what the state service takes.
+struct Batch {
+    txn: Txn,
+    bytes: usize,
+    most_changes: usize,
+}
+
+impl Batch {
+    fn new(most_changes: usize) -> Self {
+        Self {
+            txn: Txn::default(),
+            bytes: 0,
+            most_changes,
+        }
+    }
+
+    /// Adds a change with its condition; false if there is no room for it.
+    ///
+    /// Guards against a transaction that is called malformed and planned again for ever.
+    fn add(&mut self, guard: Guard, change: Change) -> bool {
+        let bytes = self.bytes + change.value_bytes() + SPARE_BYTES;
+        let fits = self.txn.then.is_empty() || bytes <= TXN_BYTES;
+        if !fits || self.txn.then.len() >= self.most_changes {
+            return false;
+        }
+        self.bytes = bytes;
+        self.txn.guards.push(guard);
+        self.txn.then.push(change);
+        true
+    }
+
+    /// The transaction, unless it is empty.
+    fn finish(self) -> Option<Txn> {
+        (!self.txn.then.is_empty()).then_some(self.txn)
+    }
+}
+
 /// A request that the service is to send to a controller of another cell.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CellCall {
@@ -308,3 +349,6 @@
         }))
     }
 }
+
+#[cfg(test)]
+mod tests;
