A loan that was given up is not called refused while a queue lists its tasks

Cause, found on reading: a refusal is the lender's proof that nothing of a loan runs, and a repeat of an offer was called refused as soon as the loan was given up; its tasks may run until their machines report. A lender that called it back would have taken it home at once, and a task could have run in both cells. Change: such an offer is put off until no queue lists a task. Story: says Refused without the guard. All stories of spillover pass.

--- a/src/spillover/serving.rs
+++ b/src/spillover/serving.rs
@@ -256,6 +256,19 @@
         }
     }
 
+    /// The decision about an offer of a loan that is known under the same token. A refusal is the
+    /// lender's proof that nothing of it runs here: one that was given up is not called refused as long
+    /// as a queue lists any of its tasks.
+    fn decision_on_repeat(&self, name: &str, job: &Job) -> Decision {
+        match job.status {
+            JobStatus::Withdrawn if self.earlier_loan_stamp(name).is_some() => {
+                Decision::Refused(Reason::Over)
+            }
+            JobStatus::Withdrawn => Decision::Later(Reason::Over),
+            _ => Decision::Accepted,
+        }
+    }
+
     /// The revision of a loan under a job's name that is over and of which no queue lists anything.
     fn earlier_loan_stamp(&self, name: &str) -> Option<u64> {
         let ix = self.view.names.jobs.get(name)?;
@@ -283,13 +296,7 @@
         if let Some(job) = ix.and_then(|ix| view.jobs.get(&ix)) {
             let mark = job.borrowed().filter(|mark| mark.cell == from);
             return Some(match mark {
-                // A refusal that took the place of an earlier transfer.
-                Some(mark)
-                    if mark.token == offer.loan.token && job.status == JobStatus::Withdrawn =>
-                {
-                    Decision::Refused(Reason::Over)
-                }
-                Some(mark) if mark.token == offer.loan.token => Decision::Accepted,
+                Some(mark) if mark.token == offer.loan.token => self.decision_on_repeat(name, job),
                 Some(mark) if mark.token > offer.loan.token => Decision::Later(Reason::Over),
                 Some(_) if self.earlier_loan_stamp(name).is_some() => return None,
                 // The transfer before is not over here yet.
--- a/tests/spillover.rs
+++ b/tests/spillover.rs
@@ -6,7 +6,9 @@
 use quillbend::records::{JobRecord, SPILLOVER_FORMAT, Transfer};
 use quillbend::view::job_key;
 use quillbend::wire::JobStatus;
-use quillbend_spillover::message::{CellAnswer, Refusal, RequestBody, VERSION};
+use quillbend_spillover::message::{
+    CellAnswer, Decision, LoanId, Offer, Reason, Refusal, RequestBody, VERSION,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use support::cells::{Cells, Way};
@@ -405,6 +407,54 @@
     c.all_end_well(EAST, &jobs);
 }
 
+/// A repeat of an offer arrives when the loan was given up and its tasks still run: that is not called
+/// refused, which would be the lender's proof that nothing of it runs.
+#[test]
+fn a_loan_that_was_given_up_is_not_called_refused_while_its_tasks_run() {
+    let (mut c, _) = lending_long(56, 60_000);
+    let runs = |c: &Cells, job: &String| c.cells[NORTH].running_of(job) > 0;
+    let lent = c.lent(EAST).into_iter().find(|job| runs(&c, job));
+    let job = lent.expect("one runs");
+    let record = c.cells[EAST].job(&job).expect("known");
+    let Some(Transfer::Lent(mark)) = record.transfer.as_deref().cloned() else {
+        panic!("lent");
+    };
+    let offer = Offer {
+        loan: LoanId {
+            job: job.clone(),
+            token: mark.token,
+        },
+        spec: c.cells[EAST].spec(4),
+        age_ms: 0,
+        ready_age_ms: None,
+        terms: mark.terms,
+    };
+    let request = quillbend::spillover::CellRequest {
+        version: VERSION,
+        from: "east".into(),
+        body: RequestBody::Offer(vec![offer]),
+    };
+    let decision = |c: &mut Cells| {
+        let leader = c.cells[NORTH].leader().expect("leads");
+        match c.cells[NORTH].take_cell_request(leader, &request) {
+            CellAnswer::Offers(answers) => answers[0].decision,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(decision(&mut c), Decision::Accepted);
+    c.cells[EAST].cancel(&job);
+    c.until(10_000, "given up", |c| {
+        c.cells[NORTH]
+            .job(&job)
+            .is_some_and(|j| j.status == JobStatus::Withdrawn)
+    });
+    assert!(runs(&c, &job));
+    assert_eq!(decision(&mut c), Decision::Later(Reason::Over));
+    c.run(10_000);
+    assert!(!runs(&c, &job));
+    assert_eq!(decision(&mut c), Decision::Refused(Reason::Over));
+}
+
 #[test]
 fn requests_of_unknown_cells_and_versions_are_refused_and_counted() {
     let mut c = Cells::new(54, &[2, 2]);
--- a/tests/support/cells.rs
+++ b/tests/support/cells.rs
@@ -336,7 +336,7 @@
     }
 
     /// A controller takes a request of another cell, as its door does.
-    fn take_cell_request(&mut self, node: usize, request: &CellRequest) -> CellAnswer {
+    pub fn take_cell_request(&mut self, node: usize, request: &CellRequest) -> CellAnswer {
         let now = self.clock(node);
         let mut taken = self.nodes[node].take().expect("alive");
         let core = &mut taken.core;
