Upgrade tests: an earlier version's sources are a workspace of their own

The sources of earlier versions are laid out below this repository, which is a workspace now, and cargo refuses a package there that is no member of it. Change: the laid out manifest begins a workspace of its own.

--- a/tests/mixed_versions.rs
+++ b/tests/mixed_versions.rs
@@ -41,6 +41,15 @@
     assert!(status.success(), "{command:?}: {status}");
 }
 
+/// Makes a package a workspace of its own. It lies below this repository's workspace, of which it is no
+/// member, and cargo refuses to build such a package.
+fn stand_alone(manifest: &Path) {
+    let text = std::fs::read_to_string(manifest).expect("a manifest");
+    if !text.contains("[workspace]") {
+        std::fs::write(manifest, format!("[workspace]\n\n{text}")).expect("written");
+    }
+}
+
 /// Builds an earlier version from the repository's history and returns its program.
 fn build(commit: &str) -> PathBuf {
     // One build directory serves all versions, so that their libraries are built once.
@@ -64,6 +73,7 @@
     let mut tar = Command::new("tar");
     tar.arg("-xf").arg(&archive).arg("-C").arg(&sources);
     succeeds(&mut tar);
+    stand_alone(&sources.join("Cargo.toml"));
     let cargo = |arguments: &[&str]| {
         let mut cargo = Command::new(env!("CARGO"));
         let target = versions.join("build");
