--- a/review/common/sim.py
+++ b/review/common/sim.py
@@ -10,6 +10,7 @@
 import random
 import shlex
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -129,6 +130,49 @@
     return int(first.split(" ")[1]), answer, headers, longest
 
 
+class Proxy:
+    """Passes connections on to `target`. When cut, it resets those that are open and closes new ones at once."""
+
+    def __init__(self, target):
+        self.target, self.is_cut, self.open = target, False, set()
+
+    async def start(self):
+        server = await asyncio.start_server(self.connection, "127.0.0.1", 0)
+        self.server, self.address = server, "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        return self
+
+    async def connection(self, reader, writer):
+        if self.is_cut:
+            writer.transport.abort()
+            return
+        try:
+            host, port = self.target.split(":")
+            to_reader, to_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.open |= {writer, to_writer}
+        await asyncio.gather(self.copy(reader, to_writer), self.copy(to_reader, writer))
+        self.open -= {writer, to_writer}
+
+    async def copy(self, reader, writer):
+        try:
+            while True:
+                part = await reader.read(65536)
+                if not part:
+                    break
+                writer.write(part)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        writer.close()
+
+    def cut(self):
+        self.is_cut = True
+        for writer in list(self.open):
+            writer.transport.abort()
+
+
 class Bucket:
     """A rate limit that allows bursts."""
 
@@ -504,10 +548,21 @@
 # --- Controllers ------------------------------------------------------------------------------------
 
 
+USED_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A free port below those that the system gives to outgoing connections, so that it stays free over a restart."""
+    while True:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in USED_PORTS:
+            USED_PORTS.add(port)
+            return port
 
 
 def run_command():
@@ -528,7 +583,8 @@
         self.zones = {host: zones[number % len(zones)] for number, host in enumerate(self.hosts)}
         self.public = {host: "127.0.0.1:%d" % free_port() for host in self.hosts}
         self.back = {host: "127.0.0.1:%d" % free_port() for host in self.hosts}
-        self.processes, self.logs = {}, {}
+        self.processes = {}
+        self.states, self.clouds, self.peers = {}, {}, {}  # Addresses that one controller has of its own, if any.
 
     def settings_text(self, host, extra):
         text = 'host_name = "%s"\nzone = "%s"\npublic_addr = "%s"\nback = "%s"\n' % (
@@ -536,8 +592,9 @@
         for other in self.hosts:
             if other != host:
                 text += '[[known]]\nhost_name = "%s"\nzone = "%s"\nendpoint = "%s"\n' % (
-                    other, self.zones[other], self.back[other])
-        text += '[external]\ncloud = "%s"\nstate = "%s"\n' % (self.cloud, self.state)
+                    other, self.zones[other], self.peers.get((host, other), self.back[other]))
+        text += '[external]\ncloud = "%s"\nstate = "%s"\n' % (
+            self.clouds.get(host, self.cloud), self.states.get(host, self.state))
         return text + self.settings + extra
 
     async def start(self, host, extra=""):
@@ -643,9 +700,15 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(os.path.dirname(os.path.abspath(sys.argv[0])), "record.txt"))
     record.write("TROUBLE=%d" % trouble)
+
+    async def bounded():
+        # When the script is asked to end, the case still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case(record, trouble), 117.0)
+
     try:
-        result = asyncio.run(asyncio.wait_for(case(record, trouble), 118.0))
-    except Exception as error:  # The case could not run.
+        result = asyncio.run(bounded())
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:  # The case could not run.
         record.say("could not run: %r" % error)
         result = 2
     record.say("exit code", result)
