Log who holds the controller's lock for long, and count the edges visited for inherited urgency

Change: the lock of the controller logs a hold of 500 ms or more with the place that took it (http/controller_lock); the dependency graph counts the edges that it visits, in the line of counters and as dependencyEdges on the status page.

--- a/src/controller/metrics.rs
+++ b/src/controller/metrics.rs
@@ -68,6 +68,7 @@
             refused = counters.refused,
             unanswered = counters.unanswered,
             presumed_dead = counters.machines_presumed_dead,
+            dependency_edges = self.replica.dependencies.edges_visited(),
             "counters"
         );
     }
--- a/src/controller/status_page.rs
+++ b/src/controller/status_page.rs
@@ -33,6 +33,7 @@
             "machines": machines,
             "counters": self.counters,
             "waiting": self.waiting_jobs(),
+            "dependencyEdges": self.replica.dependencies.edges_visited(),
             "versions": self.versions(),
             "format": self.replica.format,
             "outdated": self.is_outdated(),
--- a/src/dependencies.rs
+++ b/src/dependencies.rs
@@ -59,6 +59,8 @@
     dependents: HashMap<JobId, Vec<JobId>>,
     /// Inherited urgency of each job that has dependents.
     inherited: HashMap<JobId, InheritedUrgency>,
+    /// Number of edges visited so far.
+    edges_visited: u64,
 }
 
 impl DependencyGraph {
@@ -124,6 +126,12 @@
         order
     }
 
+    /// Number of edges between jobs that were visited so far to keep inherited urgency up to date: the cost of
+    /// the graph.
+    pub fn edges_visited(&self) -> u64 {
+        self.edges_visited
+    }
+
     /// The urgency that a waiting job passes on to each of its predecessors.
     fn urgency_for_predecessors(&self, job: JobId) -> Option<InheritedUrgency> {
         let own = self.waiting.get(&job)?.own;
@@ -145,6 +153,7 @@
     /// inherited urgency changes.
     fn propagate(&mut self, mut changed: Vec<JobId>) {
         while let Some(job) = changed.pop() {
+            self.edges_visited += self.dependents.get(&job).map_or(0, Vec::len) as u64;
             let dependents = self.dependents.get(&job).into_iter().flatten();
             let all = dependents.filter_map(|&dependent| self.urgency_for_predecessors(dependent));
             let inherited = all.reduce(InheritedUrgency::combine);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -13,10 +13,12 @@
 use responses::refuse;
 use std::time::Duration;
 
+pub use controller_lock::{ControllerGuard, ControllerLock};
 pub use shared::{ApiState, SharedState};
 
 mod cancellation;
 mod cells;
+mod controller_lock;
 mod dependent_submission;
 mod lookup;
 mod peers;
--- a/src/http/shared.rs
+++ b/src/http/shared.rs
@@ -3,6 +3,7 @@
 //! Owns the controller's lock, the cache of final states and the delayed acks. A lock must never be held
 //! across an await, and no two locks at a time.
 
+use super::ControllerLock;
 use crate::clock::{Clock, Timestamp};
 use crate::controller::Controller;
 use crate::jobs::FinalStateCache;
@@ -25,7 +26,7 @@
 /// The process-wide state that actors and handlers share.
 pub struct SharedState {
     /// The scheduler's state machine.
-    pub controller: Mutex<Controller>,
+    pub controller: ControllerLock,
     /// Cached final states of jobs, which never change.
     pub final_states: Mutex<FinalStateCache>,
     /// Linearizable reads that wait until the replica has caught up.
@@ -48,7 +49,7 @@
     pub fn new(controller: Controller, clock: Box<dyn Clock + Send + Sync>) -> Self {
         let latency = Histogram::new_with_bounds(MIN_LATENCY_US, MAX_LATENCY_US, LATENCY_DIGITS);
         Self {
-            controller: Mutex::new(controller),
+            controller: ControllerLock::new(controller),
             final_states: Mutex::default(),
             read_index: ReadIndex::default(),
             clock,
