Pass deadlines back through a pipeline in one pass, each job once

Cause: DependencyGraph::propagate corrected inherited urgency with a stack, so a job was computed again for each path on which its value improved, with a walk over all its dependents each time. Estimates that double from stage to stage double that with each stage; wide stages alone made it cubic. It ran under the controller's lock, in the accepting handler and in each watch. Why this works: changes only mark jobs. The next query takes the marked jobs in the order of their depth, dependents before predecessors, so each is computed when all of its dependents are, and stops where values do not change. Predecessors keep what each dependent passed on in an ordered multiset, so one dependent changes without a look at the others. Depths are greater than those of predecessors and computed once for each added job and its dependents; values that form a cycle end too. Controllers that neither lead nor lend never ask and so do none of this. Tests: src/dependencies/tests/costs.rs (deep, wide, doubling; 4 sizes), reference.rs (300 random graphs against a plain definition), replica/waiting/tests/costs.rs (full read, watch, own commit), tests/loopback_pipelines.rs (real processes).

--- a/src/dependencies/tests.rs
+++ b/src/dependencies/tests.rs
@@ -1,5 +1,9 @@
 //! Unit tests of `dependencies`.
 
+mod costs;
+mod reference;
+pub(crate) mod shapes;
+
 use super::{DependencyGraph, OwnUrgency};
 use crate::names::{Index, JobId};
 use crate::protocol::Priority;
--- a/src/replica/waiting.rs
+++ b/src/replica/waiting.rs
@@ -68,7 +68,11 @@
             .is_some_and(|waiting| waiting.cancelled);
         let cancelled =
             before || cancelled_by_user || predecessors.iter().any(|&job| self.is_cancelled(job));
-        if self.dependencies.predecessors(job) != predecessors {
+        let unchanged = self
+            .dependencies
+            .predecessors(job)
+            .eq(predecessors.iter().copied());
+        if !unchanged {
             // Predecessors were added to an incomplete job.
             self.dependencies.remove(job);
         }
@@ -141,7 +145,7 @@
 
     /// The predecessors of a waiting job that are not recorded as done.
     pub fn remaining_predecessors(&self, job: JobId) -> impl Iterator<Item = JobId> + '_ {
-        let predecessors = self.dependencies.predecessors(job).iter().copied();
+        let predecessors = self.dependencies.predecessors(job);
         predecessors.filter(|&job| !self.is_recorded_done(job))
     }
 
@@ -155,9 +159,9 @@
             .filter(|(_, waiting)| !waiting.cancelled);
         let needed = waiting.flat_map(|(&job, _)| self.dependencies.predecessors(job));
         let missing = needed.filter(|&job| {
-            !self.has_watched_key(*job) && !self.waiting.archived_statuses.contains_key(job)
+            !self.has_watched_key(job) && !self.waiting.archived_statuses.contains_key(&job)
         });
-        let mut missing: Vec<JobId> = missing.copied().collect();
+        let mut missing: Vec<JobId> = missing.collect();
         missing.sort_unstable();
         missing.dedup();
         missing
@@ -200,3 +204,6 @@
         waiting.filter(|waiting| waiting.record.incomplete)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/replica/waiting/tests/costs.rs
@@ -0,0 +1,55 @@
+//! What changes of waiting jobs cost, in edges visited, on pipelines of several shapes and sizes.
+
+use super::{FIRST_REVISION, commit, name, put_event, stored_keys};
+use crate::dependencies::tests::shapes::Pipeline;
+use crate::names::{Index, JobId};
+use crate::protocol::KeyValue;
+use crate::replica::Replica;
+
+/// Number of times that a change may visit each edge.
+const MAX_VISITS_PER_EDGE: u64 = 8;
+/// Sizes of the pipelines.
+const SIZES: [usize; 3] = [10, 20, 40];
+
+/// Runs a change followed by a query of inherited urgency; returns the number of edges visited.
+fn edges_visited(replica: &mut Replica, change: impl FnOnce(&mut Replica)) -> u64 {
+    let before = replica.dependencies.edges_visited();
+    change(replica);
+    let first = replica.names.jobs.get(&name(JobId::from_raw(0)));
+    first.map(|first| replica.dependencies.inherited_urgency(first));
+    replica.dependencies.edges_visited() - before
+}
+
+fn assert_within(pipeline: &Pipeline, change: &str, visited: u64) {
+    pipeline.assert_visits(change, visited, pipeline.edges(), MAX_VISITS_PER_EDGE);
+}
+
+/// Guards against a pipeline with a deadline on its last job stopping every controller that reads it, watches
+/// it or accepts it.
+#[test]
+fn a_pipeline_with_a_deadline_costs_a_few_visits_of_each_edge_however_it_is_learnt() {
+    for pipeline in Pipeline::all(&SIZES) {
+        let keys = stored_keys(&pipeline);
+        let last_revision = FIRST_REVISION + keys.len() as u64;
+        let mut replica = Replica::default();
+        let visited = edges_visited(&mut replica, |replica| {
+            replica.apply_full_read(keys.clone(), last_revision);
+        });
+        assert_within(&pipeline, "full read", visited);
+        let mut by_revision: Vec<&KeyValue> = keys.iter().collect();
+        by_revision.sort_by_key(|key| key.mod_revision);
+        let mut replica = Replica::default();
+        let visited = edges_visited(&mut replica, |replica| {
+            let events = by_revision.iter().map(|key| put_event(key)).collect();
+            replica.apply_watch_events(events, last_revision);
+        });
+        assert_within(&pipeline, "watch", visited);
+        let mut replica = Replica::default();
+        let (last, earlier) = by_revision.split_last().expect("not empty");
+        for key in earlier {
+            commit(&mut replica, key);
+        }
+        let visited = edges_visited(&mut replica, |replica| commit(replica, last));
+        assert_within(&pipeline, "own commit of the last job", visited);
+    }
+}
