Visit a cancelled pipeline once, not from each of its jobs

Cause: each value of a cancelled job made the replica walk all its direct and indirect dependents, cancelled or not. A pipeline that is cancelled job by job, or read again after its cancellation, was walked from each job to its end, under the controller's lock. Change: the walk goes on only from jobs that it cancels; dependents of a cancelled job are always cancelled already. A job that was cancelled before starts no walk. Cost: the edges of the jobs that are cancelled now, once each, and the direct dependents of a cancelled job that is written again. Tests: the_cancellation_of_a_whole_pipeline_costs_a_few_visits_of_each_edge_however_it_is_learnt fails on the sources before. DependencyGraph::transitive_dependents became visit_dependents; the tests that used it build the same list with it and assert the same.

--- a/src/dependencies.rs
+++ b/src/dependencies.rs
@@ -16,7 +16,6 @@
 
 pub use urgency::{InheritedUrgency, OwnUrgency};
 
-use crate::collections::HashSet;
 use crate::names::JobId;
 use edges::Edges;
 use std::cell::RefCell;
@@ -71,20 +70,17 @@
         self.edges.visited()
     }
 
-    /// Direct and indirect dependents of a job, each once.
-    pub fn transitive_dependents(&self, job: JobId) -> Vec<JobId> {
-        let mut found: HashSet<JobId> = HashSet::default();
-        let mut order = Vec::new();
-        let mut queue = vec![job];
-        while let Some(next) = queue.pop() {
-            for dependent in self.edges.dependents(next) {
-                if found.insert(dependent) {
-                    order.push(dependent);
-                    queue.push(dependent);
-                }
-            }
+    /// Visits direct and indirect dependents of a job. Goes on to the dependents of those for which `visit`
+    /// returns true; a dependent is visited once for each of its predecessors that is gone on from.
+    pub fn visit_dependents(&self, job: JobId, mut visit: impl FnMut(JobId) -> bool) {
+        let mut next = vec![job];
+        while let Some(job) = next.pop() {
+            next.extend(
+                self.edges
+                    .dependents(job)
+                    .filter(|&dependent| visit(dependent)),
+            );
         }
-        order
     }
 }
 
--- a/src/dependencies/tests.rs
+++ b/src/dependencies/tests.rs
@@ -5,6 +5,7 @@
 pub(crate) mod shapes;
 
 use super::{DependencyGraph, OwnUrgency};
+use crate::collections::HashSet;
 use crate::names::{Index, JobId};
 use crate::protocol::Priority;
 
@@ -26,6 +27,20 @@
     graph.insert(job(n), own(Priority::BestEffort, None, 10), needs);
 }
 
+/// Direct and indirect dependents of a job, in the order in which they are first visited.
+fn transitive_dependents(graph: &DependencyGraph, job: JobId) -> Vec<JobId> {
+    let mut found: HashSet<JobId> = HashSet::default();
+    let mut all = Vec::new();
+    graph.visit_dependents(job, |dependent| {
+        let is_new = found.insert(dependent);
+        if is_new {
+            all.push(dependent);
+        }
+        is_new
+    });
+    all
+}
+
 #[test]
 fn priority_and_deadline_propagate_to_all_predecessors() {
     let mut graph = DependencyGraph::default();
@@ -111,10 +126,10 @@
     add(&mut graph, 3, &[1, 2]);
     add(&mut graph, 4, &[3]);
     add(&mut graph, 5, &[9]);
-    let mut all = graph.transitive_dependents(job(0));
+    let mut all = transitive_dependents(&graph, job(0));
     all.sort();
     assert_eq!(all, [job(1), job(2), job(3), job(4)]);
-    assert!(graph.transitive_dependents(job(4)).is_empty());
+    assert!(transitive_dependents(&graph, job(4)).is_empty());
 }
 
 #[test]
@@ -133,5 +148,5 @@
         graph.inherited_urgency(job(0)).unwrap().priority,
         Priority::Urgent
     );
-    assert_eq!(graph.transitive_dependents(job(0)).len(), 50_000);
+    assert_eq!(transitive_dependents(&graph, job(0)).len(), 50_000);
 }
--- a/src/replica/waiting.rs
+++ b/src/replica/waiting.rs
@@ -83,7 +83,7 @@
             cancelled,
         };
         self.waiting.jobs.insert(job, waiting);
-        if cancelled {
+        if cancelled && !before {
             self.cancel_dependents(job);
         }
     }
@@ -128,12 +128,15 @@
 
     /// Marks all direct and indirect dependents of a cancelled job as cancelled. This takes effect before
     /// their own keys change in the store: every replica derives it from the cancellation of `job`.
+    ///
+    /// Dependents of a cancelled job are always cancelled, so those of a job that was cancelled before are not
+    /// visited again: a pipeline is visited once, however many of its jobs show that it is cancelled.
     pub(super) fn cancel_dependents(&mut self, job: JobId) {
-        for dependent in self.dependencies.transitive_dependents(job) {
-            if let Some(waiting) = self.waiting.jobs.get_mut(&dependent) {
-                waiting.cancelled = true;
-            }
-        }
+        let waiting = &mut self.waiting.jobs;
+        self.dependencies.visit_dependents(job, |dependent| {
+            let dependent = waiting.get_mut(&dependent);
+            dependent.is_some_and(|dependent| !std::mem::replace(&mut dependent.cancelled, true))
+        });
     }
 
     /// Whether a waiting job was accepted, is not cancelled, and all of its predecessors are recorded as done.
--- a/src/replica/waiting/tests/costs.rs
+++ b/src/replica/waiting/tests/costs.rs
@@ -3,7 +3,8 @@
 use super::{FIRST_REVISION, commit, name, put_event, stored_keys};
 use crate::dependencies::tests::shapes::Pipeline;
 use crate::names::{Index, JobId};
-use crate::protocol::KeyValue;
+use crate::protocol::{JobStatus, Json, KeyValue};
+use crate::records::WaitingRecord;
 use crate::replica::Replica;
 
 /// Number of times that a change may visit each edge.
@@ -53,3 +54,82 @@
         assert_within(&pipeline, "own commit of the last job", visited);
     }
 }
+
+/// The same key with the job cancelled, written at a later revision.
+fn cancelled(key: &KeyValue, mod_revision: u64) -> KeyValue {
+    let record: WaitingRecord = key.value.decode().expect("a waiting job");
+    let record = WaitingRecord {
+        status: JobStatus::Cancelled,
+        ..record
+    };
+    KeyValue {
+        key: key.key.clone(),
+        value: Json::encode(&record),
+        mod_revision,
+    }
+}
+
+fn assert_all_cancelled(replica: &Replica, pipeline: &Pipeline) {
+    assert_eq!(replica.waiting.jobs.len(), pipeline.jobs.len());
+    assert!(
+        replica
+            .waiting
+            .jobs
+            .values()
+            .all(|waiting| waiting.cancelled)
+    );
+}
+
+/// Guards against a cancelled pipeline being walked from each of its jobs to its end, again with each full read.
+#[test]
+fn the_cancellation_of_a_whole_pipeline_costs_a_few_visits_of_each_edge_however_it_is_learnt() {
+    for pipeline in Pipeline::all(&SIZES) {
+        let mut keys = stored_keys(&pipeline);
+        let mut revision = FIRST_REVISION + keys.len() as u64;
+        let mut replica = Replica::default();
+        replica.apply_full_read(keys.clone(), revision);
+        // The user cancels one job of the first stage, then all others.
+        let visited = edges_visited(&mut replica, |replica| {
+            for key in &mut keys {
+                revision += 1;
+                *key = cancelled(key, revision);
+                commit(replica, key);
+            }
+        });
+        assert_within(&pipeline, "cancellation job by job", visited);
+        assert_all_cancelled(&replica, &pipeline);
+        let visited = edges_visited(&mut replica, |replica| {
+            replica.apply_full_read(keys.clone(), revision);
+        });
+        assert_within(&pipeline, "full read after the cancellation", visited);
+        for reversed in [false, true] {
+            let mut keys = keys.clone();
+            if reversed {
+                keys.reverse();
+            }
+            let mut replica = Replica::default();
+            let visited = edges_visited(&mut replica, |replica| {
+                replica.apply_full_read(keys, revision);
+            });
+            assert_within(&pipeline, "first read of the cancelled pipeline", visited);
+            assert_all_cancelled(&replica, &pipeline);
+        }
+    }
+}
+
+#[test]
+fn the_cancellation_of_the_first_job_cancels_the_whole_pipeline() {
+    for pipeline in Pipeline::all(&SIZES) {
+        let keys = stored_keys(&pipeline);
+        let revision = FIRST_REVISION + keys.len() as u64;
+        let mut replica = Replica::default();
+        replica.apply_full_read(keys, revision);
+        let first = replica.names.jobs.get(&name(JobId::from_raw(0)));
+        let first = first.expect("the first job is a predecessor");
+        let visited = edges_visited(&mut replica, |replica| {
+            replica.record_archived_status(first, JobStatus::Cancelled);
+        });
+        assert_within(&pipeline, "cancellation of the first job", visited);
+        assert_all_cancelled(&replica, &pipeline);
+    }
+}
