Count the unfinished predecessors of waiting jobs instead of walking them with each change

Cause: with each change of the replica, up to ten times a second, the leader asked of every waiting job whether all of its predecessors are done, and every controller looked through all predecessors of all waiting jobs every 2 s for those that no key shows. Both under the controller's lock, linear in jobs and edges, but with no relation to what had changed. Change: the dependency graph holds what is known of each predecessor (dependencies/readiness), how many of a waiting job's predecessors are not done, which jobs have none left and which predecessors are missing. The replica tells it after each change of a job's keys. The leader's note of the last change without ready jobs is dropped: the look costs nothing now. Cost: a predecessor that becomes done visits its dependents once; a waiting job that is added its predecessors once; a look none of the edges, except those of missing predecessors.

--- a/src/dependencies.rs
+++ b/src/dependencies.rs
@@ -6,18 +6,22 @@
 //! All of this runs under the controller's lock, and users choose the shape of the graph. The cost of every
 //! operation is therefore bounded by the edges of the jobs that it concerns, whatever the shape:
 //!
-//! * adding or removing a job visits its own edges;
+//! * adding or removing a job visits the edges to its predecessors;
+//! * a predecessor that becomes done visits the edges to its dependents;
 //! * the first query of inherited urgency after changes visits the edges of the added jobs and of the jobs whose
 //!   urgency changes, each a constant number of times; later queries visit none.
 
 mod edges;
 mod multiset;
+mod readiness;
 mod urgency;
 
+pub use readiness::PredecessorStatus;
 pub use urgency::{InheritedUrgency, OwnUrgency};
 
 use crate::names::JobId;
 use edges::Edges;
+use readiness::Readiness;
 use std::cell::RefCell;
 use urgency::UrgencyIndex;
 
@@ -25,6 +29,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct DependencyGraph {
     edges: Edges,
+    readiness: Readiness,
     /// Brought up to date by queries: most controllers apply many changes and never ask.
     urgency: RefCell<UrgencyIndex>,
 }
@@ -36,6 +41,7 @@
             return;
         }
         self.edges.insert(job, predecessors);
+        self.readiness.insert(job, &self.edges);
         self.urgency.get_mut().insert(job, own);
     }
 
@@ -44,6 +50,7 @@
         let Some(predecessors) = self.edges.remove(job) else {
             return Vec::new();
         };
+        self.readiness.remove(job, &predecessors, &self.edges);
         self.urgency.get_mut().remove(job, &predecessors);
         predecessors
     }
@@ -65,6 +72,32 @@
         urgency.inherited(job)
     }
 
+    /// Sets what is known of a predecessor of waiting jobs; does nothing for other jobs. A predecessor that was
+    /// added with its first dependent is missing until then.
+    pub fn set_predecessor_status(&mut self, job: JobId, status: PredecessorStatus) {
+        self.readiness.set_status(job, status, &self.edges);
+    }
+
+    /// Whether a job waits, and all of its predecessors are done.
+    pub fn is_ready(&self, job: JobId) -> bool {
+        self.readiness.is_ready(job)
+    }
+
+    /// Waiting jobs whose predecessors are all done, in the order of their indices.
+    pub fn ready_jobs(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.readiness.ready_jobs()
+    }
+
+    /// Predecessors whose state is not known, in the order of their indices.
+    pub fn missing_predecessors(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.readiness.missing()
+    }
+
+    /// Direct dependents of a job.
+    pub fn dependents(&self, job: JobId) -> impl Iterator<Item = JobId> + '_ {
+        self.edges.dependents(job)
+    }
+
     /// Number of edges added, removed or visited so far: the cost of all work on the graph.
     pub fn edges_visited(&self) -> u64 {
         self.edges.visited()
--- a/src/leadership/job_dependencies.rs
+++ b/src/leadership/job_dependencies.rs
@@ -34,19 +34,11 @@
     ///
     /// The final state of a predecessor never changes, so the transaction needs no precondition on
     /// it. The waiting job's own key decides between this write and a cancellation.
-    pub(super) fn plan_ready_jobs(&mut self) -> Option<Transaction> {
+    pub(super) fn plan_ready_jobs(&self) -> Option<Transaction> {
         if self.formats.own_format() < DEPENDENCIES_FORMAT {
             return None;
         }
-        // No job becomes ready without a change of the replica.
-        if self.leadership.none_ready_at_change == Some(self.replica.change_counter) {
-            return None;
-        }
         let mut ready = self.ready_jobs();
-        if ready.is_empty() {
-            self.leadership.none_ready_at_change = Some(self.replica.change_counter);
-            return None;
-        }
         ready.sort_by_key(|&job| (self.waiting_priority(job), job));
         let max_jobs = self.settings.platform.settings.state.txn_ops / 2;
         let mut transaction = Transaction::default();
@@ -72,9 +64,8 @@
     /// Waiting jobs whose predecessors have all reached the final state done.
     fn ready_jobs(&self) -> Vec<JobId> {
         let names = &self.replica.names.jobs;
-        let waiting = self.replica.waiting.jobs.keys().copied();
-        waiting
-            .filter(|&job| self.replica.is_ready(job))
+        let ready = self.replica.ready_jobs();
+        ready
             .filter(|&job| !self.replica.is_unreadable(names.name(job)))
             .collect()
     }
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -62,8 +62,6 @@
     rental_requests: RentalRequests,
     scale_in: ScaleIn,
     binding_schedule: BindingSchedule,
-    /// Change counter of the replica at the last check that found no waiting job ready.
-    none_ready_at_change: Option<u64>,
     next_observation: Timestamp,
     next_archive: Timestamp,
 }
--- a/src/replica/jobs.rs
+++ b/src/replica/jobs.rs
@@ -30,6 +30,7 @@
             self.jobs.insert(job_id, job);
         }
         self.update_completion(job_id);
+        self.update_predecessor_status(job_id);
     }
 
     /// Builds a job from its stored value and from the done tasks that blocks list.
@@ -71,6 +72,7 @@
     pub(super) fn remove_job(&mut self, job: JobId) {
         if self.jobs.remove(&job).is_some() {
             self.job_index.on_job_key_deleted(job);
+            self.update_predecessor_status(job);
         }
     }
 
--- a/src/replica/waiting.rs
+++ b/src/replica/waiting.rs
@@ -6,7 +6,7 @@
 
 use super::Replica;
 use crate::collections::HashMap;
-use crate::dependencies::OwnUrgency;
+use crate::dependencies::{OwnUrgency, PredecessorStatus};
 use crate::names::JobId;
 use crate::protocol::{JobSpec, JobStatus};
 use crate::records::WaitingRecord;
@@ -68,32 +68,39 @@
             .is_some_and(|waiting| waiting.cancelled);
         let cancelled =
             before || cancelled_by_user || predecessors.iter().any(|&job| self.is_cancelled(job));
-        let unchanged = self
-            .dependencies
-            .predecessors(job)
-            .eq(predecessors.iter().copied());
-        if !unchanged {
-            // Predecessors were added to an incomplete job.
-            self.dependencies.remove(job);
-        }
-        self.dependencies.insert(job, own, predecessors);
+        self.put_dependencies(job, own, predecessors);
         let waiting = WaitingJob {
             mod_revision,
             record: Arc::new(record),
             cancelled,
         };
         self.waiting.jobs.insert(job, waiting);
+        self.update_predecessor_status(job);
         if cancelled && !before {
             self.cancel_dependents(job);
         }
     }
 
+    /// Adds a waiting job to the dependency graph, or replaces its predecessors if they have changed.
+    fn put_dependencies(&mut self, job: JobId, own: OwnUrgency, predecessors: Vec<JobId>) {
+        let known = self.dependencies.predecessors(job);
+        if !known.eq(predecessors.iter().copied()) {
+            // Predecessors were added to an incomplete job.
+            self.dependencies.remove(job);
+        }
+        self.dependencies.insert(job, own, predecessors.clone());
+        for predecessor in predecessors {
+            self.update_predecessor_status(predecessor);
+        }
+    }
+
     /// Applies the deletion of a waiting job's key: the job has become ready or reached a final state.
     pub(super) fn remove_waiting(&mut self, job: JobId) {
         if self.waiting.jobs.remove(&job).is_none() {
             return;
         }
         let predecessors = self.dependencies.remove(job);
+        self.update_predecessor_status(job);
         for job in predecessors.into_iter().chain([job]) {
             if !self.dependencies.has_dependents(job) {
                 self.waiting.archived_statuses.remove(&job);
@@ -143,7 +150,29 @@
     pub fn is_ready(&self, job: JobId) -> bool {
         let waiting = self.waiting.jobs.get(&job);
         waiting.is_some_and(|waiting| !waiting.cancelled && !waiting.record.incomplete)
-            && self.remaining_predecessors(job).next().is_none()
+            && self.dependencies.is_ready(job)
+    }
+
+    /// Waiting jobs that were accepted, are not cancelled, and whose predecessors are all recorded as done.
+    pub fn ready_jobs(&self) -> impl Iterator<Item = JobId> + '_ {
+        let ready = self.dependencies.ready_jobs();
+        ready.filter(|&job| self.is_ready(job))
+    }
+
+    /// Tells the dependency graph what is known of a job. To be called after each change of the job's keys.
+    pub(super) fn update_predecessor_status(&mut self, job: JobId) {
+        if !self.dependencies.has_dependents(job) {
+            return;
+        }
+        let is_archived = self.waiting.archived_statuses.contains_key(&job);
+        let status = if self.is_recorded_done(job) {
+            PredecessorStatus::Done
+        } else if is_archived || self.has_watched_key(job) {
+            PredecessorStatus::NotDone
+        } else {
+            PredecessorStatus::Missing
+        };
+        self.dependencies.set_predecessor_status(job, status);
     }
 
     /// The predecessors of a waiting job that are not recorded as done.
@@ -155,19 +184,13 @@
     /// Predecessors of waiting jobs that have no watched key and whose final state is unknown, in the order
     /// of their indices.
     pub fn missing_predecessors(&self) -> Vec<JobId> {
-        let waiting = self
-            .waiting
-            .jobs
-            .iter()
-            .filter(|(_, waiting)| !waiting.cancelled);
-        let needed = waiting.flat_map(|(&job, _)| self.dependencies.predecessors(job));
-        let missing = needed.filter(|&job| {
-            !self.has_watched_key(job) && !self.waiting.archived_statuses.contains_key(&job)
-        });
-        let mut missing: Vec<JobId> = missing.collect();
-        missing.sort_unstable();
-        missing.dedup();
-        missing
+        let is_cancelled = |job: JobId| {
+            let waiting = self.waiting.jobs.get(&job);
+            waiting.is_none_or(|waiting| waiting.cancelled)
+        };
+        let missing = self.dependencies.missing_predecessors();
+        let is_needed = |&job: &JobId| !self.dependencies.dependents(job).all(is_cancelled);
+        missing.filter(is_needed).collect()
     }
 
     /// Records the final state, read from the archive, of a predecessor of a waiting job.
@@ -177,6 +200,7 @@
         }
         self.change_counter += 1;
         self.waiting.archived_statuses.insert(job, status);
+        self.update_predecessor_status(job);
         if status == JobStatus::Cancelled {
             self.cancel_dependents(job);
         }
--- a/src/replica/waiting/tests.rs
+++ b/src/replica/waiting/tests.rs
@@ -1,14 +1,15 @@
 //! Unit tests of the waiting jobs of the replica.
 
 mod costs;
+mod reference;
 
 use crate::dependencies::tests::shapes::{Pipeline, WaitingJob};
 use crate::jobs::tests::VALID_SUBMISSION;
 use crate::jobs::{ParsedSubmission, parse_submission};
 use crate::names::{Index, JobId};
 use crate::protocol::{JobSpec, JobStatus, Json, KeyValue, Mutation, Transaction, WatchEvent};
-use crate::records::{NameList, WaitingRecord};
-use crate::replica::{Replica, waiting_key};
+use crate::records::{JobRecord, NameList, WaitingRecord};
+use crate::replica::{Replica, job_key, waiting_key};
 
 /// Revision at which the first job of a pipeline was accepted.
 const FIRST_REVISION: u64 = 100;
@@ -76,3 +77,43 @@
     };
     replica.apply_own_commit(&transaction, key.mod_revision);
 }
+
+/// The stored value of a job that does not wait.
+fn job_record(status: JobStatus) -> JobRecord {
+    JobRecord {
+        spec: spec(),
+        status,
+        done: Default::default(),
+        submitted_ms: 0,
+        ready_ms: None,
+        transfer: None,
+    }
+}
+
+/// Applies an own commit that wrote a job that does not wait.
+fn commit_job(replica: &mut Replica, job: JobId, status: JobStatus, mod_revision: u64) {
+    let key = KeyValue {
+        key: job_key(&name(job)),
+        value: Json::encode(&job_record(status)),
+        mod_revision,
+    };
+    commit(replica, &key);
+}
+
+/// Applies an own commit that made a waiting job ready.
+fn commit_ready(replica: &mut Replica, job: JobId, revision: u64) {
+    let transaction = Transaction {
+        preconditions: Vec::new(),
+        mutations: vec![
+            Mutation::Put {
+                key: job_key(&name(job)),
+                value: Json::encode(&job_record(JobStatus::Pending)),
+                lease_id: None,
+            },
+            Mutation::Delete {
+                key: waiting_key(&name(job)),
+            },
+        ],
+    };
+    replica.apply_own_commit(&transaction, revision);
+}
--- a/src/replica/waiting/tests/costs.rs
+++ b/src/replica/waiting/tests/costs.rs
@@ -1,6 +1,6 @@
 //! What changes of waiting jobs cost, in edges visited, on pipelines of several shapes and sizes.
 
-use super::{FIRST_REVISION, commit, name, put_event, stored_keys};
+use super::{FIRST_REVISION, commit, commit_job, commit_ready, name, put_event, stored_keys};
 use crate::dependencies::tests::shapes::Pipeline;
 use crate::names::{Index, JobId};
 use crate::protocol::{JobStatus, Json, KeyValue};
@@ -133,3 +133,51 @@
         assert_all_cancelled(&replica, &pipeline);
     }
 }
+
+/// Guards against the leader walking all waiting jobs and their predecessors with each change of the replica, and
+/// every controller doing so every 2 s.
+#[test]
+fn looking_for_ready_jobs_and_missing_predecessors_walks_no_waiting_jobs() {
+    for pipeline in Pipeline::all(&SIZES) {
+        let mut replica = Replica::default();
+        let keys = stored_keys(&pipeline);
+        let revision = FIRST_REVISION + keys.len() as u64;
+        replica.apply_full_read(keys, revision);
+        let first = JobId::from_raw(0);
+        commit_job(&mut replica, first, JobStatus::Pending, revision + 1);
+        let visited = edges_visited(&mut replica, |replica| {
+            assert_eq!(replica.ready_jobs().count(), 0);
+            assert!(replica.missing_predecessors().is_empty());
+        });
+        // The query of inherited urgency that follows the full read visits the edges once.
+        assert_within(&pipeline, "first look", visited);
+        let visited = edges_visited(&mut replica, |replica| {
+            assert_eq!(replica.ready_jobs().count(), 0);
+            assert!(replica.missing_predecessors().is_empty());
+        });
+        assert_eq!(visited, 0, "{}", pipeline.name);
+    }
+}
+
+#[test]
+fn completing_a_whole_pipeline_costs_a_few_visits_of_each_edge() {
+    for pipeline in Pipeline::all(&SIZES) {
+        let mut replica = Replica::default();
+        let keys = stored_keys(&pipeline);
+        let mut revision = FIRST_REVISION + keys.len() as u64;
+        replica.apply_full_read(keys, revision);
+        let visited = edges_visited(&mut replica, |replica| {
+            commit_job(replica, JobId::from_raw(0), JobStatus::Done, revision + 1);
+            for waiting in &pipeline.jobs {
+                revision += 2;
+                let job = replica.names.jobs.get(&name(waiting.job));
+                let job = job.expect("the job waits");
+                assert!(replica.ready_jobs().any(|ready| ready == job));
+                commit_ready(replica, waiting.job, revision);
+                commit_job(replica, waiting.job, JobStatus::Done, revision + 1);
+            }
+            assert!(replica.waiting.jobs.is_empty());
+        });
+        assert_within(&pipeline, "completion of all jobs", visited);
+    }
+}
