Keep deleted jobs in an ordered set, so that one deletion does not walk all others

Cause: the replica kept the jobs whose keys were deleted in a vector and searched it for each further deletion, of each predecessor of a waiting job too, and for each job that was added. A full read or a watch response that removes many waiting jobs took time with the square of their number, under the controller's lock. Change: DeletedJobs, an ordered set by position; the order of release, and so of reused indices, is as before. Cost: a logarithm for each deletion or addition; once for each change of the replica, the jobs that are still reserved.

--- a/src/replica/job_index.rs
+++ b/src/replica/job_index.rs
@@ -5,6 +5,7 @@
 //! the store.
 
 use super::TaskId;
+use super::deleted_jobs::DeletedJobs;
 use crate::collections::HashMap;
 use crate::names::JobId;
 use crate::ranges::RangeSet;
@@ -29,8 +30,8 @@
     /// Pending jobs whose tasks are all done.
     complete: BTreeSet<JobId>,
     recorded_done: HashMap<JobId, RecordedDoneTasks>,
-    /// Jobs whose keys were deleted, in the order of deletion. Their indices are still reserved.
-    deleted: Vec<JobId>,
+    /// Jobs whose keys were deleted. Their indices are still reserved.
+    deleted: DeletedJobs,
 }
 
 impl JobIndex {
@@ -117,29 +118,25 @@
     pub(super) fn on_job_key_deleted(&mut self, job: JobId) {
         self.complete.remove(&job);
         self.transferred.remove(&job);
-        self.deleted.push(job);
+        self.deleted.insert(job);
     }
 
     /// Records that a job has no watched key left, as a waiting job or otherwise. Idempotent.
     pub(super) fn record_deleted(&mut self, job: JobId) {
-        if !self.deleted.contains(&job) {
-            self.deleted.push(job);
-        }
+        self.deleted.insert(job);
     }
 
     /// Records that a job has a watched key again, so that its index stays reserved.
     pub(super) fn record_present(&mut self, job: JobId) {
-        self.deleted.retain(|&deleted| deleted != job);
+        self.deleted.remove(job);
     }
 
     /// Removes and returns the deleted jobs that no block lists and no job depends on. The caller releases their
     /// indices.
     pub(super) fn take_releasable(&mut self, has_dependents: impl Fn(JobId) -> bool) -> Vec<JobId> {
-        let deleted = std::mem::take(&mut self.deleted);
-        let (kept, released): (Vec<_>, Vec<_>) = deleted
-            .into_iter()
-            .partition(|&job| self.is_in_blocks(job) || has_dependents(job));
-        self.deleted = kept;
+        let mut deleted = std::mem::take(&mut self.deleted);
+        let released = deleted.take_unless(|job| self.is_in_blocks(job) || has_dependents(job));
+        self.deleted = deleted;
         for job in &released {
             self.recorded_done.remove(job);
         }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -12,6 +12,7 @@
 mod apply;
 mod block_values;
 mod blocks;
+mod deleted_jobs;
 mod ids;
 mod job;
 mod job_index;
