Find the awaited names that are not listed yet through a hash set

A submission that names thousands of unfinished jobs held the lock of the controller that took it for seconds. Cause: a job that awaits more jobs than one transaction has preconditions for is accepted in several writes. To plan each, every name was compared with all names of the writes before, so the work grew with the cube of the names of one submission. Change: without_listed looks each name up in a set. What is written is the same. Cost: the names for each write, so names squared by 4 x txn_ops in all; the value itself is written again with each. Test: finding_the_names_that_are_not_listed_compares_each_name_with_few_others; with the linear search in place of the set it fails.

--- a/src/jobs/incremental.rs
+++ b/src/jobs/incremental.rs
@@ -18,6 +18,8 @@
 use crate::records::{JobRecord, NameList, WaitingRecord};
 use crate::replica::waiting_key;
 use crate::settings::Settings;
+use std::collections::HashSet;
+use std::hash::Hash;
 
 /// An incomplete job as it is stored.
 #[derive(Debug, Clone, Copy)]
@@ -97,10 +99,9 @@
     settings: &Settings,
 ) -> NextPredecessors {
     let listed = stored.map_or(&[][..], |stored| stored.record.predecessors.names());
-    let mut missing = named
-        .iter()
-        .filter_map(|(name, predecessor)| match predecessor {
-            PredecessorState::Unfinished(precondition) if !listed.contains(name) => {
+    let mut missing =
+        without_listed(named, listed).filter_map(|(name, predecessor)| match predecessor {
+            PredecessorState::Unfinished(precondition) => {
                 Some((name.clone(), precondition.clone()))
             }
             _ => None,
@@ -120,6 +121,15 @@
     }
 }
 
+/// The named jobs that are not listed yet, in order. Compares each name with few others, however many there are.
+fn without_listed<'a, N: Eq + Hash, T>(
+    named: &'a [(N, T)],
+    listed: &'a [N],
+) -> impl Iterator<Item = &'a (N, T)> {
+    let listed: HashSet<&N> = listed.iter().collect();
+    named.iter().filter(move |(name, _)| !listed.contains(name))
+}
+
 /// Preconditions that the job has not changed since it was read: absent, or incomplete at a revision.
 fn unchanged_preconditions(name: &str, stored: Option<StoredWaitingJob>) -> Vec<Precondition> {
     let Some(stored) = stored else {
--- a/src/jobs/incremental/tests.rs
+++ b/src/jobs/incremental/tests.rs
@@ -1,6 +1,6 @@
 //! Unit tests of `incremental`.
 
-use super::{AcceptanceStep, StoredWaitingJob, plan_next_write};
+use super::{AcceptanceStep, StoredWaitingJob, plan_next_write, without_listed};
 use crate::jobs::dependent::{DependencyError, PredecessorState};
 use crate::jobs::tests::VALID_SUBMISSION;
 use crate::jobs::{ParsedSubmission, new_record, parse_submission};
@@ -9,6 +9,8 @@
 use crate::replica::{job_key, waiting_key};
 use crate::settings::Settings;
 use crate::settings::tests::small_settings;
+use std::cell::Cell;
+use std::hash::{Hash, Hasher};
 
 const JOB_NAME: &str = "wk-000412";
 
@@ -134,3 +136,40 @@
     }
     panic!("the value grew without limit");
 }
+
+thread_local! {
+    /// Number of comparisons of [`CountedName`]s.
+    static COMPARISONS: Cell<u64> = const { Cell::new(0) };
+}
+
+/// A name that counts how often it is compared.
+#[derive(Debug, Eq)]
+struct CountedName(u64);
+
+impl Hash for CountedName {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
+impl PartialEq for CountedName {
+    fn eq(&self, other: &Self) -> bool {
+        COMPARISONS.set(COMPARISONS.get() + 1);
+        self.0 == other.0
+    }
+}
+
+/// Guards against one submission that names thousands of jobs holding the controller's lock for seconds: each
+/// write compared every name with all names that were listed before.
+#[test]
+fn finding_the_names_that_are_not_listed_compares_each_name_with_few_others() {
+    for count in [500, 1000, 2000] {
+        let named: Vec<(CountedName, ())> = (0..count).map(|n| (CountedName(n), ())).collect();
+        let listed: Vec<CountedName> = (0..count / 2).map(CountedName).collect();
+        COMPARISONS.set(0);
+        let left = without_listed(&named, &listed);
+        assert!(left.map(|(name, ())| name.0).eq(count / 2..count));
+        let comparisons = COMPARISONS.get();
+        assert!(comparisons <= 2 * count, "{comparisons} for {count} names");
+    }
+}
