Keep the number of pending jobs instead of counting all jobs for each submission

Cause: each submission asks whether the limit of unfinished jobs is reached, and that walked all jobs under the lock; so did each look for jobs to archive. Change: the index of jobs keeps the set of pending ones, changed with each job's key. Cost: a logarithm for each change of a job's key; none for the question.

--- a/src/replica/job_index.rs
+++ b/src/replica/job_index.rs
@@ -27,6 +27,8 @@
     bound: HashMap<JobId, BTreeMap<u32, u8>>,
     /// Jobs that are lent to another cell or borrowed from one.
     transferred: BTreeSet<JobId>,
+    /// Pending jobs.
+    pending: BTreeSet<JobId>,
     /// Pending jobs whose tasks are all done.
     complete: BTreeSet<JobId>,
     recorded_done: HashMap<JobId, RecordedDoneTasks>,
@@ -94,11 +96,21 @@
         self.bound.contains_key(&job) || recorded.is_some_and(|recorded| recorded.blocks > 0)
     }
 
+    /// Sets whether a job is pending.
+    pub(super) fn set_pending(&mut self, job: JobId, pending: bool) {
+        set_member(&mut self.pending, job, pending);
+    }
+
     /// Sets whether a job is pending with all of its tasks done.
     pub(super) fn set_complete(&mut self, job: JobId, complete: bool) {
         set_member(&mut self.complete, job, complete);
     }
 
+    /// Number of pending jobs.
+    pub(super) fn pending_count(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Pending jobs whose tasks are all done.
     pub(super) fn complete_jobs(&self) -> impl Iterator<Item = JobId> + '_ {
         self.complete.iter().copied()
@@ -116,6 +128,7 @@
 
     /// Records the deletion of the key of a job that does not wait for predecessors.
     pub(super) fn on_job_key_deleted(&mut self, job: JobId) {
+        self.pending.remove(&job);
         self.complete.remove(&job);
         self.transferred.remove(&job);
         self.deleted.insert(job);
--- a/src/replica/jobs.rs
+++ b/src/replica/jobs.rs
@@ -85,11 +85,13 @@
         }
     }
 
-    /// Updates whether a job is complete: pending in the store although all of its tasks are done.
+    /// Updates whether a job is pending, and whether it is complete: pending in the store although all of its
+    /// tasks are done.
     fn update_completion(&mut self, job_id: JobId) {
         let job = self.jobs.get(&job_id);
         let pending = job.filter(|job| job.status == JobStatus::Pending);
         let complete = pending.is_some_and(|job| job.done.len() >= job.spec.task_count);
+        self.job_index.set_pending(job_id, pending.is_some());
         self.job_index.set_complete(job_id, complete);
     }
 
@@ -127,8 +129,7 @@
 
     /// Number of pending jobs, without those that wait for predecessors.
     pub fn pending_count(&self) -> usize {
-        let jobs = self.jobs.values();
-        jobs.filter(|job| job.status == JobStatus::Pending).count()
+        self.job_index.pending_count()
     }
 
     /// Number of unfinished jobs, including those that wait for predecessors.
