Build the values to archive only for the jobs that are archived

Cause: each look for jobs to archive, every 0.5 to 4 s on the leader, built the stored value of every archivable job, and then wrote at most four. After the cancellation of a pipeline that is every job at its end. Change: the look lists the jobs; the values are built for those that the transaction takes. Cost: one step for each job of the replica for each look, as before, no edges; four values.

--- a/src/leadership/archiving.rs
+++ b/src/leadership/archiving.rs
@@ -11,7 +11,7 @@
 use crate::protocol::{JobStatus, Mutation, Transaction};
 use crate::ranges::RangeSet;
 use crate::records::JobRecord;
-use crate::replica::{Job, archive_key, job_key};
+use crate::replica::{Job, archive_key, job_key, waiting_key};
 
 /// Maximum number of jobs archived in one transaction.
 const MAX_ARCHIVED_AT_ONCE: usize = 4;
@@ -28,14 +28,20 @@
 /// Bytes of a mutation and its precondition in addition to the value.
 const MUTATION_OVERHEAD_BYTES: usize = 100;
 
-/// A job in a final state that leaves the watched keys.
-pub(super) struct ArchivableJob {
-    /// Index of the job's name.
-    pub job: JobId,
-    /// The watched key of the job.
-    pub key: String,
-    /// The value to archive.
-    pub record: JobRecord,
+/// A job in a final state that may leave the watched keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ArchivableJob {
+    /// It does not wait for predecessors.
+    Final(JobId),
+    /// It was cancelled while it waited for predecessors.
+    CancelledWaiting(JobId),
+}
+
+/// A move to the archive: the job's watched key, its name and the value to archive.
+struct ArchiveMove<'a> {
+    key: String,
+    name: &'a str,
+    record: JobRecord,
 }
 
 impl Controller {
@@ -97,30 +103,49 @@
         if pending > 0 && final_jobs < self.settings.options.max_final_jobs as usize {
             return None;
         }
-        let mut jobs = self.archivable_jobs();
-        jobs.extend(self.cancelled_waiting_jobs());
+        let jobs: Vec<ArchivableJob> = self
+            .archivable_jobs()
+            .chain(self.cancelled_waiting_jobs())
+            .collect();
         self.leadership.next_archive = now.plus(archive_interval_ms(jobs.len(), pending));
-        let transaction = self.archive_transaction(jobs);
+        let transaction = self.archive_transaction(&jobs);
         (!transaction.mutations.is_empty()).then_some(transaction)
     }
 
     /// Jobs in a final state that no block, waiting job or binding in flight mentions.
-    fn archivable_jobs(&self) -> Vec<ArchivableJob> {
+    fn archivable_jobs(&self) -> impl Iterator<Item = ArchivableJob> + '_ {
         let bindings = self.writes.pending_bindings();
         let being_bound: HashSet<JobId> = bindings.map(|(_, binding)| binding.task.job).collect();
         let jobs = self.replica.jobs.iter();
-        jobs.filter(|&(&job_id, job)| {
+        jobs.filter(move |&(&job_id, job)| {
             self.is_archivable(job_id, job) && !being_bound.contains(&job_id)
         })
-        .map(|(&job_id, job)| {
-            let done = self.replica.done_tasks(job.stored_done.clone());
-            ArchivableJob {
-                job: job_id,
-                key: job_key(self.replica.names.jobs.name(job_id)),
-                record: job.to_record(done, job.status),
+        .map(|(&job_id, _)| ArchivableJob::Final(job_id))
+    }
+
+    /// What archiving a job writes; `None` if the replica does not show it.
+    fn archive_move(&self, archivable: ArchivableJob) -> Option<ArchiveMove<'_>> {
+        let names = &self.replica.names.jobs;
+        match archivable {
+            ArchivableJob::Final(job_id) => {
+                let job = self.replica.jobs.get(&job_id)?;
+                let name = names.name(job_id);
+                let done = self.replica.done_tasks(job.stored_done.clone());
+                Some(ArchiveMove {
+                    key: job_key(name),
+                    name,
+                    record: job.to_record(done, job.status),
+                })
             }
-        })
-        .collect()
+            ArchivableJob::CancelledWaiting(job_id) => {
+                let name = names.name(job_id);
+                Some(ArchiveMove {
+                    key: waiting_key(name),
+                    name,
+                    record: self.cancelled_waiting_record(job_id)?,
+                })
+            }
+        }
     }
 
     fn is_archivable(&self, job_id: JobId, job: &Job) -> bool {
@@ -133,16 +158,17 @@
             && !self.replica.is_unreadable(self.replica.names.jobs.name(job_id))
     }
 
-    /// Plans archiving the first of these jobs, as many as fit into one transaction.
-    fn archive_transaction(&self, jobs: Vec<ArchivableJob>) -> Transaction {
+    /// Plans archiving the first of these jobs, as many as fit into one transaction. Values are built only for
+    /// those, however many there are.
+    fn archive_transaction(&self, jobs: &[ArchivableJob]) -> Transaction {
         let max_jobs = self.settings.platform.settings.state.txn_ops / 2;
         let value_bytes = self.settings.max_value_bytes();
         let mut transaction = Transaction::default();
         let mut bytes = 0;
-        for mut archivable in jobs.into_iter().take(max_jobs.min(MAX_ARCHIVED_AT_ONCE)) {
-            archivable.record.shrink_if_final(value_bytes);
-            let name = self.replica.names.jobs.name(archivable.job);
-            let mutation = put(&archive_key(name), &archivable.record, None);
+        let first = jobs.iter().take(max_jobs.min(MAX_ARCHIVED_AT_ONCE));
+        for mut archived in first.filter_map(|&job| self.archive_move(job)) {
+            archived.record.shrink_if_final(value_bytes);
+            let mutation = put(&archive_key(archived.name), &archived.record, None);
             if mutation.value_bytes() > value_bytes {
                 // The job was written under a higher size limit. It stays under its watched key,
                 // because its value is now too large to be written anywhere.
@@ -152,7 +178,7 @@
             if bytes > MAX_TRANSACTION_BYTES && !transaction.mutations.is_empty() {
                 break;
             }
-            let key = archivable.key;
+            let key = archived.key;
             transaction.preconditions.push(self.precondition(&key));
             transaction.mutations.push(mutation);
             transaction.mutations.push(Mutation::Delete { key });
--- a/src/leadership/job_dependencies.rs
+++ b/src/leadership/job_dependencies.rs
@@ -95,10 +95,9 @@
         inherited.map_or(own, |inherited| inherited.priority.min(own))
     }
 
-    /// Cancelled waiting jobs that no other job depends on, with the values to archive. Dependents
-    /// are thus archived before their predecessors, so every replica keeps the cause of a
-    /// cancellation as long as the cancelled job.
-    pub(super) fn cancelled_waiting_jobs(&self) -> Vec<ArchivableJob> {
+    /// Cancelled waiting jobs that no other job depends on. Dependents are thus archived before their
+    /// predecessors, so every replica keeps the cause of a cancellation as long as the cancelled job.
+    pub(super) fn cancelled_waiting_jobs(&self) -> impl Iterator<Item = ArchivableJob> + '_ {
         let waiting = self.replica.waiting.jobs.iter();
         let cancelled = waiting.filter(|(job, waiting)| {
             waiting.cancelled
@@ -106,12 +105,12 @@
                 && waiting.mod_revision <= self.replica.revision
                 && !self.replica.dependencies.has_dependents(**job)
         });
-        cancelled
-            .map(|(&job, waiting)| ArchivableJob {
-                job,
-                key: waiting_key(self.replica.names.jobs.name(job)),
-                record: job_record(&waiting.record, JobStatus::Cancelled, None),
-            })
-            .collect()
+        cancelled.map(|(&job, _)| ArchivableJob::CancelledWaiting(job))
+    }
+
+    /// The value under which a cancelled waiting job is archived; `None` if the job does not wait.
+    pub(super) fn cancelled_waiting_record(&self, job: JobId) -> Option<JobRecord> {
+        let waiting = self.replica.waiting.jobs.get(&job)?;
+        Some(job_record(&waiting.record, JobStatus::Cancelled, None))
     }
 }
