Look ended loans up in a set when their confirmations arrive

Cause: for each confirmation of a loan all reports of the request were searched, so one response took the square of its loans under the controller's lock. Change: a set of the loans reported as ended. Cost: the reports and confirmations of one response, with a logarithm.

--- a/src/spillover/borrowing.rs
+++ b/src/spillover/borrowing.rs
@@ -11,6 +11,7 @@
 use crate::replica::{Job, job_key};
 use quillbend_spillover::confirmation::Permission;
 use quillbend_spillover::message::{CellResponse, LoanId, LoanReport, Progress, RequestBody};
+use std::collections::BTreeSet;
 
 /// Interval between requests for confirmation while nothing is borrowed, ms. These requests show whether the
 /// lender is reachable.
@@ -202,12 +203,11 @@
             return;
         };
         selector.on_response(sent_at.0);
+        let has_ended = |report: &&LoanReport| !matches!(report.progress, Progress::Pending { .. });
+        let ended = reported.iter().filter(has_ended);
+        let reported_ends: BTreeSet<&LoanId> = ended.map(|report| &report.loan).collect();
         for response in statuses {
-            let reported_end = !call.relayed
-                && reported.iter().any(|report| {
-                    let ended = !matches!(report.progress, Progress::Pending { .. });
-                    report.loan == response.loan && ended
-                });
+            let reported_end = !call.relayed && reported_ends.contains(&response.loan);
             let confirmations = &mut self.confirmations;
             confirmations.on_response(&response, sent_at.0, reported_end);
         }
