Review cases 7 and 8: pass without the trouble, whatever the timing

Change: case 7 looks for room only until its job is launched; in case 8 the wide job is submitted before the long one. Controllers' ports lie below those that the system gives out, a controller that does not start makes a case end with 2, and a script that is ended from outside ends its processes. No code is changed.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -55,6 +55,10 @@
         began, polled = now(), 0.0
         while now() < began + WAIT_S and not w.rules.done.get(waiting["ref"]):
             cpus, ram = machine.used()
+            if any(key[0].startswith(waiting["ref"]) for key in machine.legs):
+                # It has been launched there.
+                await asyncio.sleep(0.2)
+                continue
             if machine.gone or cpus + 0.5 > machine.cpus or ram + 0.5 > machine.ram:
                 raise CannotRun("the machine has no room any more")
             if now() > polled + 5.0:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -23,18 +23,24 @@
         for i in range(SMALL):
             w.cloud.add("small", w.zones[i % 2], False, up=True)
         await w.ready()
-        # Runs until the end, on small machines, and leaves 20 of their 32 CPUs free.
-        long = w.job(legs=6, vcpus=2.0, run_s=150.0, frames=["small"])
-        await w.submit(long)
-        if not await w.wait_for(lambda: len(w.running(long["ref"])) == 6, 20):
-            raise CannotRun("the long job did not start")
         if trouble:
             # The machine stops with all that is on it, and the cloud has no other of its type.
             record.write(f"{large} stops")
             w.cloud.take(large)
-        wide = w.job(legs=1, vcpus=40.0, urgency="urgent", run_s=3.0)
+        # Fits the team's limit, and the large machine. Without the trouble it is soon done.
+        wide = w.job(legs=1, vcpus=40.0, urgency="urgent", run_s=1.0)
         await w.submit(wide)
-        await asyncio.sleep(1.0)
+        if trouble:
+            await asyncio.sleep(4.0)
+        elif not await w.wait_for(lambda: w.rules.done.get(wide["ref"]), 10):
+            raise CannotRun("the wide job was not done")
+        # Runs until the end, on small machines, and leaves 20 of their 32 CPUs free.
+        long = w.job(legs=6, vcpus=2.0, run_s=150.0, frames=["small"])
+        await w.submit(long)
+        if not await w.wait_for(lambda: len(w.running(long["ref"])) == 6, 12):
+            raise CannotRun("the long job did not start")
+        if not trouble and "done" != await w.poll(wide["ref"]):
+            await asyncio.sleep(2.0)
         jobs = [w.job(legs=1, run_s=3.0, frames=["small"]) for _ in range(JOBS)]
         accepted_at = {}
 
@@ -43,10 +49,10 @@
             accepted_at[job["ref"]] = now()
 
         await asyncio.gather(*[submit(j) for j in jobs])
-        if len(accepted_at) < JOBS or max(accepted_at.values()) > 14.0:
+        if len(accepted_at) < JOBS or max(accepted_at.values()) > 17.0:
             raise CannotRun("the jobs were not accepted in time")
         started, logged = {}, 0.0
-        while now() < 108.0 and len(started) < JOBS:
+        while now() < 109.0 and len(started) < JOBS:
             for job in jobs:
                 ref = job["ref"]
                 if ref not in started and (w.running(ref) or w.rules.done.get(ref)):
--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -44,15 +44,21 @@
 
 
 def free_ports(count):
-    held = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        held.append(s)
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
-    return ports
+    """Free ports below those that the operating system hands out by itself, which a stand-in could be given
+    before a controller listens on them."""
+    found = []
+    while len(found) < count:
+        port = random.randrange(12000, 30000)
+        if port in found:
+            continue
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 # ---------------------------------------------------------------- HTTP
@@ -852,6 +858,8 @@
         while now() < until:
             ok = 0
             for node in self.nodes:
+                if node.process.returncode is not None:
+                    raise CannotRun(f"{node.name} did not start")
                 answer = await once(node.public, "GET", "/ready", timeout=1.0)
                 ok += bool(answer and answer[0] == 200)
             if ok >= count:
@@ -1062,11 +1070,14 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited():
+        # A script that is ended from outside ends its processes too.
+        stop = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         return await asyncio.wait_for(main(record, trouble), LIMIT_S)
 
     try:
         broken = asyncio.run(limited())
-    except (CannotRun, asyncio.TimeoutError) as reason:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as reason:
         record.write(f"COULD NOT RUN: {reason!r}")
         print(f"could not run: {reason!r}")
         sys.exit(2)
