--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,7 +9,7 @@
 from stand import CannotRun, World, now, run_case  # noqa: E402
 
 WAIT_S = 90.0
-# "85 at the start", the users' number for appeal-recheck.
+# "273 at the start" on the page of the trouble, "85 at the start" on an earlier one, for appeal-recheck.
 JOBS = 85
 TEAM_MOST = 48.0
 SMALL = 8
