Launch no more tasks on a machine than its heartbeats can list

An accepted job of 1,500 small tasks never completed one of them, nor did an ordinary job beside it; the machine's lease ended every 12 s. Cause: a heartbeat lists all tasks of a machine and may have 64 KiB, but only resources bounded their number. 1,280 running tasks made 67,076 bytes; from then on no heartbeat was sent, the lease ended, and the holder launched the whole queue again, in one answer that was too long by itself. Beyond it: entries grow by half when tasks end, stops and clears are as many as launches, and tasks of 0 CPUs and 0 GB are bounded by no resource. Change: message_limits counts bytes, each task with the longest entry that it can become. The holder decides at each launch, from what the newest heartbeat lists less what the same ack clears, so that it does not matter how a task came to the machine; the leader and thieves count queues, so that no task waits for a full machine while another has room. An ack takes stops, then clears, then launches within 64 KiB, the rest follows. An overfull machine gets what its heartbeats can list after its lease. Log lines with machine, size and limit, three counters, reportBytes on the status page. Two checks per heartbeat that took the square of its tasks look up sets. Why it works: nothing starts on a machine but by a launch of its holder, and after each launch every entry, grown as far as it can, still fits into the next heartbeat. The simulated worker of all tests sends no heartbeat over the limit and records it as violated.

--- a/src/controller/heartbeat/delayed.rs
+++ b/src/controller/heartbeat/delayed.rs
@@ -5,10 +5,11 @@
 //! workers wait 4 s). A delayed ack is a full ack: the worker's lease counts from when
 //! the worker sent the heartbeat.
 
-use super::launch::QueueMode;
+use super::launch::{LaunchRoom, QueueMode};
 use crate::clock::Timestamp;
 use crate::controller::held_machines::{HeartbeatNumber, MachineRuntime};
 use crate::controller::{Controller, HeartbeatResponse};
+use crate::message_limits::MessageSpace;
 use crate::names::MachineId;
 use crate::placement::Resources;
 use crate::protocol::{HeartbeatAck, TaskPhase};
@@ -93,8 +94,16 @@
         for job in launched.filter_map(|task| self.replica.jobs.get(&task.job)) {
             used.add(&job.task_resources(), 1.0);
         }
-        let launches = self.plan_launches(machine_id, runtime, used, QueueMode::Start, now);
+        let room = LaunchRoom {
+            used,
+            task_entries: MessageSpace::for_task_entries(runtime.entry_bytes),
+            commands: MessageSpace::for_commands(),
+            padding: runtime.padding,
+        };
+        let launches = self.plan_launches(machine_id, runtime, room, QueueMode::Start, now);
         self.counters.launches += launches.commands.len() as u64;
+        self.record_heartbeat_space(machine_id, runtime, &launches, runtime.entry_bytes);
+        runtime.entry_bytes += launches.entry_bytes;
         for completion in launches.freed {
             self.record_completion(machine_id, runtime, completion, now);
         }
--- a/src/controller/heartbeat/launch.rs
+++ b/src/controller/heartbeat/launch.rs
@@ -1,8 +1,13 @@
 //! Decides which bindings in a machine's queue are started and which are freed.
+//!
+//! Besides the machine's resources, the size of messages limits what is started: the machine's heartbeats must
+//! be able to list all of its tasks, and the ack all commands. Nothing else that brings tasks to a machine has to
+//! be relied on for that.
 
 use crate::clock::Timestamp;
 use crate::controller::held_machines::MachineRuntime;
 use crate::controller::{Completion, Controller};
+use crate::message_limits::{JsonPadding, MessageSpace, largest_entry_bytes};
 use crate::names::MachineId;
 use crate::placement::Resources;
 use crate::protocol::Command;
@@ -19,6 +24,19 @@
     Drain,
 }
 
+/// What is left on a machine, and in the messages from and to its worker, for further tasks.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LaunchRoom {
+    /// Resources used by the tasks that have not ended.
+    pub(super) used: Resources,
+    /// Space in the machine's heartbeats.
+    pub(super) task_entries: MessageSpace,
+    /// Space in the ack.
+    pub(super) commands: MessageSpace,
+    /// White space in the worker's messages.
+    pub(super) padding: JsonPadding,
+}
+
 /// Launch commands, and the bindings that are freed instead.
 #[derive(Debug, Default)]
 pub(super) struct Launches {
@@ -26,6 +44,10 @@
     pub(super) commands: Vec<Command>,
     /// Bindings that are freed, so that their tasks can be bound again.
     pub(super) freed: Vec<Completion>,
+    /// Whether a task that fits the machine's resources waits for space in its heartbeats.
+    pub(super) heartbeats_full: bool,
+    /// Bytes by which the launched tasks may lengthen the machine's heartbeats.
+    pub(super) entry_bytes: usize,
 }
 
 /// Decision on one binding.
@@ -40,13 +62,13 @@
 }
 
 impl Controller {
-    /// Launches bindings from the head of a machine's queue while its resources suffice beside those `used`,
-    /// and frees bindings that should no longer start here.
+    /// Launches bindings from the head of a machine's queue while there is room for them, and frees bindings
+    /// that should no longer start here.
     pub(super) fn plan_launches(
         &self,
         machine_id: MachineId,
         runtime: &mut MachineRuntime,
-        mut used: Resources,
+        mut room: LaunchRoom,
         queue_mode: QueueMode,
         now: Timestamp,
     ) -> Launches {
@@ -62,15 +84,23 @@
                 // Until the worker has adopted our token, an earlier holder may still start the task.
                 QueueDecision::Free if !runtime.fenced => {}
                 QueueDecision::Free => launches.freed.push(Completion::free(*binding)),
+                // Later bindings do not overtake the first one that does not fit.
+                QueueDecision::Start(_) if full => {}
                 QueueDecision::Start(need) => {
-                    // Later bindings do not overtake the first one that does not fit.
-                    full |= !size.is_some_and(|size| need.fits(&size.minus(&used)));
+                    let command = self.launch_command(binding);
+                    let entry_bytes = self.largest_entry_bytes(binding, room.padding);
+                    let fits = size.is_some_and(|size| need.fits(&size.minus(&room.used)));
+                    launches.heartbeats_full = fits && !room.task_entries.fits(entry_bytes);
+                    full =
+                        !fits || launches.heartbeats_full || !room.commands.fits_command(&command);
                     if !full {
-                        used.add(&need, 1.0);
+                        room.used.add(&need, 1.0);
+                        room.task_entries.take(entry_bytes);
+                        room.commands.take_command(&command);
+                        launches.entry_bytes += entry_bytes;
                         runtime.launched.insert(binding.task);
-                        launches
-                            .commands
-                            .push(self.launch_command(machine_id, binding));
+                        self.log_launch(machine_id, &command);
+                        launches.commands.push(command);
                     }
                 }
             }
@@ -120,11 +150,23 @@
         }
     }
 
-    fn launch_command(&self, machine_id: MachineId, binding: &Binding) -> Command {
-        let task = self.replica.names.task_name(binding.task);
-        let attempt = binding.attempt;
-        let machine = self.replica.names.machines.name(machine_id);
-        debug!(task, attempt, machine, "launching task");
-        Command::Launch { task, attempt }
+    /// Size that a bound task's entry in the heartbeats of its machine may grow to, bytes.
+    fn largest_entry_bytes(&self, binding: &Binding, padding: JsonPadding) -> usize {
+        let name_bytes = self.replica.names.task_name_bytes(binding.task);
+        largest_entry_bytes(name_bytes, binding.attempt, padding)
+    }
+
+    fn launch_command(&self, binding: &Binding) -> Command {
+        Command::Launch {
+            task: self.replica.names.task_name(binding.task),
+            attempt: binding.attempt,
+        }
+    }
+
+    fn log_launch(&self, machine_id: MachineId, command: &Command) {
+        if let Command::Launch { task, attempt } = command {
+            let machine = self.replica.names.machines.name(machine_id);
+            debug!(task, attempt, machine, "launching task");
+        }
     }
 }
--- a/src/controller/heartbeat/mod.rs
+++ b/src/controller/heartbeat/mod.rs
@@ -12,6 +12,7 @@
 mod delayed;
 mod launch;
 mod outcomes;
+mod oversized;
 mod reachability;
 mod reconcile;
 mod stops;
--- a/src/controller/heartbeat/reachability.rs
+++ b/src/controller/heartbeat/reachability.rs
@@ -5,9 +5,11 @@
 //! launched tasks, and loses its lease although this controller acknowledges its heartbeats.
 
 use crate::clock::Timestamp;
+use crate::collections::HashSet;
 use crate::controller::Controller;
 use crate::controller::held_machines::MachineRuntime;
 use crate::protocol::Heartbeat;
+use crate::replica::TaskId;
 use tracing::{info, warn};
 
 /// Time after which a worker stops waiting for an ack and tries the next controller (PROTOCOL, reports), ms.
@@ -84,10 +86,7 @@
             && heartbeat.sequence == runtime.newest_heartbeat.sequence + 1;
         let in_time =
             now.since(last_heartbeat_at) < self.settings.max_heartbeat_gap_ms().max(ACK_TIMEOUT_MS);
-        let shows_launches = runtime.launched.iter().all(|task| {
-            let name = self.replica.names.task_name(*task);
-            heartbeat.tasks.iter().any(|reported| reported.task == name)
-        });
+        let shows_launches = self.shows_launches(runtime, heartbeat);
         let shows_token = heartbeat.token == runtime.fencing_token;
         if is_next && in_time && shows_launches && shows_token {
             return AckEvidence::Received;
@@ -106,6 +105,19 @@
         }
     }
 
+    /// Whether a heartbeat lists all tasks that the ack to the previous one launched.
+    fn shows_launches(&self, runtime: &MachineRuntime, heartbeat: &Heartbeat) -> bool {
+        if runtime.launched.is_empty() {
+            return true;
+        }
+        let names = &self.replica.names;
+        let reported = heartbeat.tasks.iter();
+        let reported: HashSet<TaskId> = reported
+            .filter_map(|status| names.parse_task_name(&status.task))
+            .collect();
+        runtime.launched.is_subset(&reported)
+    }
+
     /// Whether missing acks are probably the fault of this controller: it stalled recently, or too many of
     /// its machines miss acks at the same time.
     pub(super) fn are_acks_late(&self, now: Timestamp) -> bool {
--- a/src/controller/heartbeat/reconcile.rs
+++ b/src/controller/heartbeat/reconcile.rs
@@ -4,7 +4,7 @@
 //! is unavailable. A task that seemed absent could be stolen and run twice.
 
 use crate::clock::Timestamp;
-use crate::collections::HashMap;
+use crate::collections::{HashMap, HashSet};
 use crate::controller::held_machines::{MachineRuntime, TaskRuntime};
 use crate::controller::{Completion, Controller, TaskOutcome};
 use crate::names::{ClassId, MachineId};
@@ -73,6 +73,7 @@
             .iter()
             .map(|binding| (binding.task, binding.attempt))
             .collect();
+        let listed_twice = tasks_listed_twice(heartbeat);
         for status in &heartbeat.tasks {
             let task = self.replica.names.parse_task_name(&status.task);
             let job = task.and_then(|task| self.replica.jobs.get(&task.job));
@@ -88,7 +89,8 @@
             }
             if let Some(binding) = reported.binding {
                 log_status_change(heartbeat, status, previous);
-                let completion = confirmed_completion(binding, status, heartbeat, runtime);
+                let completion =
+                    confirmed_completion(binding, status, heartbeat, &listed_twice, runtime);
                 let is_new = !self.completions.is_pending(machine_id, &binding);
                 if let Some(completion) = completion.filter(|_| is_new) {
                     let ratio =
@@ -136,6 +138,7 @@
     binding: Binding,
     status: &TaskStatus,
     heartbeat: &Heartbeat,
+    listed_twice: &HashSet<&str>,
     runtime: &MachineRuntime,
 ) -> Option<Completion> {
     if status.status != TaskPhase::Ended {
@@ -146,11 +149,20 @@
         Some(ExitReason::Error) => TaskOutcome::Failed,
         _ => TaskOutcome::Free,
     };
-    let is_authoritative = runtime.fenced && !shows_another_live_attempt(heartbeat, status);
+    let another_is_live = listed_twice.contains(status.task.as_str())
+        && shows_another_live_attempt(heartbeat, status);
+    let is_authoritative = runtime.fenced && !another_is_live;
     let is_confirmed = outcome == TaskOutcome::Done || is_authoritative;
     is_confirmed.then_some(Completion { binding, outcome })
 }
 
+/// Names of the tasks of which a heartbeat lists more than one attempt.
+fn tasks_listed_twice(heartbeat: &Heartbeat) -> HashSet<&str> {
+    let mut listed = HashSet::default();
+    let names = heartbeat.tasks.iter().map(|status| status.task.as_str());
+    names.filter(|name| !listed.insert(*name)).collect()
+}
+
 /// Whether a heartbeat lists another attempt of the task that has not ended.
 fn shows_another_live_attempt(heartbeat: &Heartbeat, status: &TaskStatus) -> bool {
     heartbeat.tasks.iter().any(|other| {
--- a/src/controller/held_machines/runtime.rs
+++ b/src/controller/held_machines/runtime.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Timestamp;
 use crate::collections::{HashMap, HashSet};
+use crate::message_limits::JsonPadding;
 use crate::names::JobId;
 use crate::protocol::{Heartbeat, TaskPhase, TaskStatus};
 use crate::replica::TaskId;
@@ -77,6 +78,14 @@
     pub(in crate::controller) reclaim_at: Option<Timestamp>,
     /// Tasks reported by the newest heartbeat.
     pub(in crate::controller) tasks: HashMap<TaskId, TaskRuntime>,
+    /// Size that the entries of all tasks in the next heartbeat may grow to, bytes.
+    pub(in crate::controller) entry_bytes: usize,
+    /// White space in the newest heartbeat.
+    pub(in crate::controller) padding: JsonPadding,
+    /// Whether tasks wait only because the machine's heartbeats have no space for them.
+    pub(in crate::controller) heartbeats_full: bool,
+    /// Whether an oversized heartbeat has been logged since the last one that was acknowledged.
+    pub(in crate::controller) oversized_logged: bool,
     /// Tasks launched by the ack to the newest heartbeat.
     pub(in crate::controller) launched: HashSet<TaskId>,
     /// Jobs of the consecutive task failures on this machine since its last success.
--- a/src/controller/metrics.rs
+++ b/src/controller/metrics.rs
@@ -40,6 +40,12 @@
     /// Transactions rejected because the budget was exhausted, the store was unavailable, their lease had
     /// expired or they were malformed.
     pub refused: u64,
+    /// Heartbeats refused because they were longer than a request may be.
+    pub oversized_heartbeats: u64,
+    /// Times at which tasks began to wait because their machine's heartbeats had no space for them.
+    pub full_heartbeats: u64,
+    /// Acks without space for all stops and clears.
+    pub split_acks: u64,
     /// Machines presumed dead.
     #[serde(rename = "lost_machines")]
     pub machines_presumed_dead: u64,
@@ -67,6 +73,9 @@
             conflicts = counters.conflicts,
             refused = counters.refused,
             unanswered = counters.unanswered,
+            oversized_heartbeats = counters.oversized_heartbeats,
+            full_heartbeats = counters.full_heartbeats,
+            split_acks = counters.split_acks,
             presumed_dead = counters.machines_presumed_dead,
             dependency_edges = self.replica.dependencies.edges_visited(),
             "counters"
--- a/src/controller/status_page.rs
+++ b/src/controller/status_page.rs
@@ -60,6 +60,7 @@
             "sick": runtime.quarantined,
             "silentMs": runtime.last_heartbeat_at.map(|at| now.since(at)),
             "tasks": runtime.task_count(),
+            "reportBytes": runtime.entry_bytes,
             "queue": machine.map_or(0, |machine| machine.queue.len()),
             "load": self.queue_load(machine_id, now),
         })
--- a/src/controller/tests.rs
+++ b/src/controller/tests.rs
@@ -2,6 +2,7 @@
 
 use super::Controller;
 use crate::clock::Timestamp;
+use crate::message_limits::JsonPadding;
 use crate::protocol::Heartbeat;
 
 /// Machine types that tests rent.
@@ -24,6 +25,7 @@
         token: 0,
         reclaim_s: None,
         tasks: Vec::new(),
+        padding: JsonPadding::default(),
     };
     for (sequence, at) in [(1, Timestamp(10_000)), (2, Timestamp(12_000))] {
         for n in 0..4500 {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,6 +6,7 @@
 //! lock must never be held across an await, and a job's state must never be older than one in an earlier
 //! response ([`ReadIndex`](crate::store::read_index::ReadIndex)).
 
+use crate::message_limits::MAX_MESSAGE_BYTES;
 use actix_web::body::MessageBody;
 use actix_web::dev::{ServiceRequest, ServiceResponse};
 use actix_web::http::StatusCode;
@@ -33,8 +34,6 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Timeout of a transaction; after it the outcome is in doubt.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2000);
-/// Maximum size of a request body on the public address, bytes.
-const MAX_PUBLIC_BODY_BYTES: usize = 64 * 1024;
 /// Maximum size of a request body on the peer address, bytes.
 const MAX_PEER_BODY_BYTES: usize = 4 << 20;
 
@@ -59,7 +58,7 @@
 > {
     App::new()
         .app_data(web::Data::new(api_state))
-        .app_data(web::PayloadConfig::new(MAX_PUBLIC_BODY_BYTES))
+        .app_data(web::PayloadConfig::new(MAX_MESSAGE_BYTES))
         .wrap(middleware::from_fn(status::measure_latency))
         .route("/api/jobs", web::post().to(users::submit))
         .route("/api/jobs/{name}", web::get().to(users::poll))
--- a/src/leadership/binding.rs
+++ b/src/leadership/binding.rs
@@ -12,10 +12,11 @@
 use crate::clock::Timestamp;
 use crate::collections::HashMap;
 use crate::controller::{Controller, task_needs};
+use crate::message_limits::{JsonPadding, largest_entry_bytes};
 use crate::names::JobId;
 use crate::placement::{self, CandidateJob, CandidateMachine, PlannedBinding};
 use crate::ranges::RangeSet;
-use crate::replica::Job;
+use crate::replica::{Job, TaskId};
 use bindable_jobs::{BindableJob, BindableJobs};
 use tracing::debug;
 
@@ -187,6 +188,7 @@
             image: job.image,
             image_gb: job.spec.image_gb,
             needs: task_needs(job),
+            entry_bytes: self.entry_bytes_of_last_task(bindable.job, job),
             run_s: self.expected_run_s(job),
             tasks: tasks.take(max_tasks).collect(),
             bound_by_zone: HashMap::default(),
@@ -196,6 +198,18 @@
         }
     }
 
+    /// Size that the entry of a job's last task, whose name is the longest, may grow to in the heartbeats of its
+    /// machine if the task is bound now, bytes.
+    fn entry_bytes_of_last_task(&self, job_id: JobId, job: &Job) -> usize {
+        let last = TaskId {
+            job: job_id,
+            number: job.spec.task_count.saturating_sub(1),
+        };
+        let name_bytes = self.replica.names.task_name_bytes(last);
+        let attempt = self.replica.latest_revision();
+        largest_entry_bytes(name_bytes, attempt, JsonPadding::default())
+    }
+
     /// Whether a job's tasks may be bound before the regular write time of a block: the job belongs
     /// to a dependency chain, whose last result a user is waiting for, and is small enough that
     /// this costs few writes.
--- a/src/leadership/candidate_machines.rs
+++ b/src/leadership/candidate_machines.rs
@@ -3,6 +3,7 @@
 use crate::clock::Timestamp;
 use crate::collections::{HashMap, HashSet};
 use crate::controller::Controller;
+use crate::message_limits::{JsonPadding, MAX_TASK_ENTRIES_BYTES, largest_entry_bytes};
 use crate::names::MachineId;
 use crate::placement::{CandidateMachine, Resources};
 use crate::protocol::MachineType;
@@ -129,6 +130,7 @@
             spot: machine.spot,
             size,
             used: self.used_resources(machine.queue.iter().chain(pending)),
+            entry_bytes_left: self.entry_bytes_left(machine.queue.iter().chain(pending)),
             load_s: self.reported_load(machine_id, now),
             fetch_gb_per_s: machine_type.fetch_gb_per_s,
             cached_images: images.iter().copied().collect(),
@@ -182,6 +184,20 @@
         used
     }
 
+    /// Space for further tasks in the heartbeats of a machine with these bindings, bytes. Ended tasks that are
+    /// not cleared yet do not count: its holder counts them when it launches tasks.
+    pub(crate) fn entry_bytes_left<'a>(
+        &self,
+        bindings: impl Iterator<Item = &'a Binding>,
+    ) -> usize {
+        let names = &self.replica.names;
+        let entries = bindings.map(|binding| {
+            let name_bytes = names.task_name_bytes(binding.task);
+            largest_entry_bytes(name_bytes, binding.attempt, JsonPadding::default())
+        });
+        MAX_TASK_ENTRIES_BYTES.saturating_sub(entries.sum())
+    }
+
     /// Resources used by the tasks that are bound to a machine.
     pub(crate) fn used_on(&self, machine_id: MachineId) -> Resources {
         let machine = self.replica.machines.get(&machine_id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod jobs;
 pub mod leadership;
+pub mod message_limits;
 pub mod names;
 pub mod placement;
 pub mod protocol;
--- a/src/placement/candidates.rs
+++ b/src/placement/candidates.rs
@@ -20,6 +20,8 @@
     pub size: Resources,
     /// Resources of its bound tasks, started or not.
     pub used: Resources,
+    /// Space for further tasks in the heartbeats of its worker, bytes.
+    pub entry_bytes_left: usize,
     /// Seconds of work per CPU in its queue.
     pub load_s: f64,
     /// Image download rate, gigabytes per second.
@@ -71,7 +73,7 @@
         }
     }
 
-    /// Whether a job's tasks may be bound here, regardless of what is free now.
+    /// Whether a job's tasks may be bound here, regardless of the resources that are free now.
     pub(super) fn admits(&self, job: &CandidateJob, limits: PlanLimits) -> bool {
         let needs = &job.needs;
         needs.allows_machine(self.machine_type, self.zone, self.spot, &self.size)
@@ -79,11 +81,13 @@
             && !(self.expensive && job.avoids_expensive(limits))
             && (job.overdue || !self.cordoned)
             && (job.may_bind_early || !self.early)
+            && job.entry_bytes <= self.entry_bytes_left
     }
 
     /// Counts one more task of a job as bound here, with its image cached.
     pub(super) fn add_task(&mut self, job: &CandidateJob) {
         self.used.add(&job.needs.resources, 1.0);
+        self.entry_bytes_left -= job.entry_bytes;
         self.load_s +=
             job.run_s * job.needs.resources.cpus / self.size.cpus.max(RESOURCE_TOLERANCE);
         self.cached_images.insert(job.image);
@@ -103,6 +107,8 @@
     pub image_gb: f64,
     /// Requirements of one task.
     pub needs: Needs,
+    /// Size that a task's entry in the heartbeats of its machine may grow to, bytes.
+    pub entry_bytes: usize,
     /// Expected run time of a task, seconds.
     pub run_s: f64,
     /// Unbound tasks that may be bound now, in ascending order.
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -82,6 +82,7 @@
 struct FailedSearch {
     overdue: bool,
     may_bind_early: bool,
+    entry_bytes: usize,
     needs: Needs,
 }
 
@@ -92,6 +93,7 @@
     fn rules_out(&self, job: &CandidateJob) -> bool {
         (self.overdue || !job.overdue)
             && (self.may_bind_early || !job.may_bind_early)
+            && self.entry_bytes <= job.entry_bytes
             && self.needs.is_no_stricter_than(&job.needs)
     }
 }
@@ -198,6 +200,7 @@
             self.failed.push(FailedSearch {
                 overdue: job.overdue,
                 may_bind_early: job.may_bind_early,
+                entry_bytes: job.entry_bytes,
                 needs: job.needs.clone(),
             });
         }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -18,6 +18,7 @@
             memory_gb: cpus * 4.0,
         },
         used: Resources::default(),
+        entry_bytes_left: 60_000,
         load_s: 0.0,
         fetch_gb_per_s: 0.5,
         cached_images: HashSet::default(),
@@ -49,6 +50,7 @@
         image: ImageId::from_raw(0),
         image_gb: 1.0,
         needs,
+        entry_bytes: 100,
         run_s: 10.0,
         tasks: (0..n).collect(),
         bound_by_zone: HashMap::default(),
@@ -91,6 +93,26 @@
     [big, small]
 }
 
+/// Guards against tasks that wait for a machine whose heartbeats cannot list them while another has space.
+#[test]
+fn tasks_go_only_to_machines_whose_heartbeats_have_space() {
+    let mut machines = [machine(0, 0, 8.0), machine(1, 0, 8.0)];
+    machines[0].entry_bytes_left = 250;
+    machines[1].entry_bytes_left = 399;
+    let mut bound = run(&mut machines, job(9, needs()), 100.0);
+    bound.sort_unstable();
+    assert_eq!(bound, [0, 0, 1, 1, 1]);
+    // A later job with shorter entries is not ruled out by the first one's failure.
+    let mut long = job(1, needs());
+    long.entry_bytes = 200;
+    let mut short = job(1, needs());
+    (short.job, short.entry_bytes) = (JobId::from_raw(1), 90);
+    machines[0].entry_bytes_left = 100;
+    let bound = plan_all(&mut machines, &mut [long, short], 100.0);
+    assert_eq!(bound.len(), 1);
+    assert_eq!(bound[0].job, JobId::from_raw(1));
+}
+
 #[test]
 fn bound_tasks_count_against_the_team_quota() {
     let mut machines = [machine(0, 0, 8.0), machine(1, 0, 8.0)];
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -1,5 +1,6 @@
 //! Messages of workers (`PROTOCOL`, "Workers -> controller nodes" and "Controller nodes -> workers").
 
+use crate::message_limits::JsonPadding;
 use serde::{Deserialize, Serialize};
 
 /// State of a task on a machine.
@@ -93,6 +94,9 @@
     /// All tasks on the machine, including ended ones that have not been cleared.
     #[serde(rename = "legs")]
     pub tasks: Vec<TaskStatus>,
+    /// White space in the received message; no field on the wire.
+    #[serde(skip)]
+    pub padding: JsonPadding,
 }
 
 /// A command to a worker. Workers execute commands in order.
--- a/src/replica/name_tables.rs
+++ b/src/replica/name_tables.rs
@@ -1,6 +1,7 @@
 //! Tables that map names in the replica to indices.
 
 use super::TaskId;
+use crate::message_limits::task_name_bytes;
 use crate::names::{
     ClassId, ControllerId, ImageId, Interner, JobId, MachineId, MachineTypeId, TeamId, ZoneId,
 };
@@ -32,6 +33,11 @@
         format!("{}/{}", self.jobs.name(task.job), task.number)
     }
 
+    /// Length of a task's name, bytes.
+    pub fn task_name_bytes(&self, task: TaskId) -> usize {
+        task_name_bytes(self.jobs.name(task.job), task.number)
+    }
+
     /// Parses a task's name; `None` if it is malformed or its job is unknown.
     pub fn parse_task_name(&self, name: &str) -> Option<TaskId> {
         let (job, number) = name.rsplit_once('/')?;
--- a/src/stealing/moves.rs
+++ b/src/stealing/moves.rs
@@ -112,14 +112,15 @@
         let Some(size) = self.machine_capacity(to) else {
             return false;
         };
+        let incoming = || self.completions.moving_to(thief).chain(&pack.tasks);
         let mut used = self.used_on(thief);
-        let incoming = self.completions.moving_to(thief);
-        for binding in incoming.chain(&pack.tasks) {
+        for binding in incoming() {
             if let Some(job) = self.replica.jobs.get(&binding.task.job) {
                 used.add(&job.task_resources(), 1.0);
             }
         }
         used.fits(&size)
+            && self.entry_bytes_left(to.queue.iter().chain(incoming())) > 0
             && pack
                 .tasks
                 .iter()
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -216,6 +216,19 @@
     assert_eq!((answer.0, &answer.1["status"]), (200, &json!("withdrawn")));
 }
 
+/// Checks that a heartbeat of more than 64 KiB is refused and counted.
+async fn check_oversized_heartbeat(address: &ControllerAddresses, machine: &str) {
+    let tasks = vec![json!({ "leg": "wk-000007/0", "try": 1, "status": "running" }); 1500];
+    let body = json!({ "rig": machine, "legs": tasks });
+    assert!(body.to_string().len() > 64 * 1024);
+    let url = format!("http://{}/v1/report", address.public);
+    let answer = call("POST", &url, Some(body)).await;
+    assert_eq!(answer.map(|a| a.0), Some(400));
+    let url = format!("http://{}/status", address.internal);
+    let status = call("GET", &url, None).await.expect("a response").1;
+    assert_eq!(status["counters"]["oversized_heartbeats"], 1);
+}
+
 #[test]
 #[expect(clippy::too_many_lines, reason = "one scenario in order")]
 fn the_program_starts_and_completes_a_job() {
@@ -262,6 +275,7 @@
             actix_web::rt::time::sleep(Duration::from_millis(20)).await;
         }
         if done {
+            check_oversized_heartbeat(&addresses[0], &worker.machine.name).await;
             check_submissions(&base, &spec).await;
             check_dependent_submissions(&base, &spec).await;
         }
--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -8,6 +8,7 @@
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpResponse, HttpServer, web};
 use quillbend::controller::CommitOutcome;
+use quillbend::message_limits::JsonPadding;
 use quillbend::protocol::{
     CloudMachine, Command, ExitReason, Heartbeat, HeartbeatAck, MachineNames, TaskPhase,
     TaskStatus, Transaction,
@@ -423,6 +424,7 @@
             token: self.token,
             reclaim_s: None,
             tasks: self.tasks.iter().map(|t| t.task.clone()).collect(),
+            padding: JsonPadding::default(),
         }
     }
 
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -1,10 +1,15 @@
 //! Simulated machines: heartbeats of their workers, execution of commands, and faults.
 
+use quillbend::message_limits::MAX_MESSAGE_BYTES;
+
 use super::{
     CloudMachine, Command, ExitReason, HeartbeatResponse, JobStatus, Rng, StoreFault, Task, Worker,
     World, catalog, controller_index, digest, job_of,
 };
 
+/// Messages with fewer tasks or commands than this are not checked, because they cannot reach the limit.
+const MIN_CHECKED_ITEMS: usize = 300;
+
 impl World {
     /// Number of tasks of a job that have been launched and have not ended.
     pub fn running_task_count_of(&self, job: &str) -> usize {
@@ -56,6 +61,8 @@
             reaches_only: None,
             is_faulty: false,
             reclaim_s: None,
+            is_overfull: false,
+            oversized_messages: 0,
         });
         name
     }
@@ -90,6 +97,7 @@
             return;
         }
         if now > worker.last_acked_at + lease_ms {
+            worker.is_overfull = false;
             worker.worker_epoch += 1;
             worker.sequence = 0;
             worker.tasks.clear();
@@ -178,6 +186,11 @@
         worker.next_heartbeat_at = now + heartbeat_period_ms;
         worker.sequence += 1;
         let heartbeat = worker.heartbeat();
+        if self.exceeds_message_limit(at, heartbeat.tasks.len(), &heartbeat) {
+            // A request of this size may not be sent.
+            return;
+        }
+        let worker = &self.workers[at];
         let i = worker.current_controller;
         tracing::debug!(
             now,
@@ -249,6 +262,31 @@
         self.handle_response(at, response, now);
     }
 
+    /// Whether a message from or to a worker with this many tasks or commands is longer than the protocol
+    /// allows. Records a violated invariant, unless the machine was overfull before.
+    fn exceeds_message_limit(
+        &mut self,
+        at: usize,
+        items: usize,
+        message: &impl serde::Serialize,
+    ) -> bool {
+        if items < MIN_CHECKED_ITEMS {
+            return false;
+        }
+        let bytes = serde_json::to_vec(message).expect("serializable").len();
+        if bytes <= MAX_MESSAGE_BYTES {
+            return false;
+        }
+        let worker = &mut self.workers[at];
+        worker.oversized_messages += 1;
+        if !worker.is_overfull {
+            let machine = &worker.machine.name;
+            let what = format!("oversized: {bytes} bytes with {items} items, {machine}");
+            self.violations.push(what);
+        }
+        true
+    }
+
     /// Handles a heartbeat that got no response: the worker switches to the next controller.
     pub(super) fn handle_missing_response(&mut self, at: usize, sent: u64) {
         let controllers = self.controllers.len();
@@ -266,6 +304,8 @@
         worker.pending_ack = None;
         match response {
             HeartbeatResponse::HeartbeatAck(o) if o.token >= worker.token => {
+                self.exceeds_message_limit(at, o.commands.len(), &o);
+                let worker = &mut self.workers[at];
                 if o.token > worker.token {
                     worker.next_heartbeat_at = now + 500;
                 }
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -1,5 +1,6 @@
 //! State of a simulated worker and its tasks.
 
+use quillbend::message_limits::JsonPadding;
 use quillbend::protocol::{CloudMachine, ExitReason, Heartbeat, TaskPhase, TaskStatus};
 
 /// A task that was launched on a worker.
@@ -77,6 +78,10 @@
     pub is_faulty: bool,
     /// Announced time until the cloud reclaims the machine, s.
     pub reclaim_s: Option<f64>,
+    /// Whether an earlier version launched more tasks than a heartbeat can list; ends with the worker's lease.
+    pub is_overfull: bool,
+    /// Number of heartbeats that could not be sent, and of acks that were too long.
+    pub oversized_messages: u32,
 }
 
 impl Worker {
@@ -87,7 +92,7 @@
             attempt: t.attempt,
             status: t.status(),
             exit_reason: t.ended,
-            saved: None,
+            saved: (t.ended == Some(ExitReason::Halted)).then_some(t.save_ms == Some(0)),
         };
         Heartbeat {
             machine: self.machine.name.clone(),
@@ -100,6 +105,7 @@
             token: self.token,
             reclaim_s: self.reclaim_s,
             tasks: self.tasks.iter().map(task).collect(),
+            padding: JsonPadding::default(),
         }
     }
 }
