Shorten the texts of refusals, so that no line of an answer exceeds 64 KiB

Cause: a refusal quotes the value that was not understood, first with the escape sequences of a debug text, then with those of JSON. 55,000 bytes of backslashes in `legs` came back in a line of 99,051 bytes; U+200B triples. Change: every error text ends after 1 KiB. Test: check_length_of_refusals in tests/loopback.rs (real process; four fields, three kinds of characters); before the change it fails with the figure above.

--- a/src/http/responses.rs
+++ b/src/http/responses.rs
@@ -4,6 +4,9 @@
 use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
 
+/// Maximum length of an error text, bytes. Texts quote what the request contains, and a line of a response has a
+/// maximum length.
+const MAX_REASON_BYTES: usize = 1024;
 /// Error text while the key-value store is unreachable.
 const STORE_UNREACHABLE: &str = "the state service is out of reach";
 
@@ -11,7 +14,16 @@
 pub(super) fn try_later(status: StatusCode, reason: &str) -> HttpResponse {
     HttpResponse::build(status)
         .insert_header(("Retry-After", "1"))
-        .json(serde_json::json!({ "error": reason }))
+        .json(serde_json::json!({ "error": shortened(reason) }))
+}
+
+/// The start of an error text, at most [`MAX_REASON_BYTES`] long.
+fn shortened(reason: &str) -> &str {
+    let mut end = reason.len().min(MAX_REASON_BYTES);
+    while !reason.is_char_boundary(end) {
+        end -= 1;
+    }
+    &reason[..end]
 }
 
 /// 503: the request may succeed if it is retried.
@@ -36,7 +48,7 @@
 
 /// An error that retrying does not resolve.
 pub(super) fn refuse(status: StatusCode, reason: &str) -> HttpResponse {
-    HttpResponse::build(status).json(serde_json::json!({ "error": reason }))
+    HttpResponse::build(status).json(serde_json::json!({ "error": shortened(reason) }))
 }
 
 /// 400: the body is incomplete or too large.
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -112,6 +112,22 @@
     assert_eq!(answer.map(|a| a.0), Some(201));
 }
 
+/// Guards against an answer with a line of more than 64 KiB, because it quotes a text of the request with escape
+/// sequences that are longer than the text.
+async fn check_length_of_refusals(jobs: &str, valid: &Value) {
+    for character in ["x", "\\", "\u{200b}"] {
+        for field in ["legs", "urgency", "crew", "kit"] {
+            let mut spec = valid.clone();
+            spec["ref"] = json!("wk-000500");
+            spec[field] = json!(character.repeat(55_000 / json!(character).to_string().len()));
+            let (status, answer) = call("POST", jobs, Some(spec)).await.expect("a response");
+            assert!(status == 400 || status == 422, "{field}: {status}");
+            let bytes = answer.to_string().len();
+            assert!(bytes < 64 * 1024, "{field}: {bytes} bytes");
+        }
+    }
+}
+
 /// Checks the answers to submissions with predecessors. The job `completed` is done, and wk-000101 stays
 /// unfinished because the only worker sends no more heartbeats.
 #[expect(
@@ -278,6 +294,7 @@
             check_oversized_heartbeat(&addresses[0], &worker.machine.name).await;
             check_submissions(&base, &spec).await;
             check_dependent_submissions(&base, &spec).await;
+            check_length_of_refusals(&format!("{base}/api/jobs"), &spec).await;
         }
         let url = format!("http://{}/status", addresses[0].internal);
         let status = call("GET", &url, None).await;
