Test that late copies of start commands start no moved and no cancelled task

Launches travel only in answers to reports, which a worker takes while that report is in flight. Change: tests only. The simulated network holds up answers that launch tasks, loses them and has a copy of the report answered by any controller, and repeats each launch from 0.1 s to four leases later, while tasks are moved and cancelled, controllers and machines come back within a second and blocks are granted anew. A real process is given a worker's address and must not connect to it.

--- a/tests/behaviour_digest.rs
+++ b/tests/behaviour_digest.rs
@@ -15,6 +15,7 @@
 use std::sync::Mutex;
 use support::cells::{CellLink, Cells};
 use support::digest::{self, Summary};
+use support::late_answers::LateLaunches;
 use support::scenarios::{self, ScenarioPlan};
 use support::{StoreFault, World, search};
 
@@ -119,6 +120,7 @@
         machines: 12 + (seed % 4) as usize * 8,
         faults: 25,
         restarts: !seed.is_multiple_of(3),
+        late_launches: LateLaunches::None,
     };
     scenarios::run(plan).err().unwrap_or_default()
 }
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -6,6 +6,7 @@
 
 use processes::*;
 use serde_json::{Value, json};
+use std::net::TcpListener;
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::sync::Mutex;
@@ -245,11 +246,24 @@
     assert_eq!(status["counters"]["oversized_heartbeats"], 1);
 }
 
+/// Asserts that nothing has connected to a worker's address. A direct command to it may be carried out minutes
+/// late or twice, and would start a task that has been moved or cancelled since.
+fn assert_no_direct_command(worker_address: &TcpListener) {
+    worker_address
+        .set_nonblocking(true)
+        .expect("a socket without blocking");
+    let connection = worker_address.accept();
+    let error = connection.expect_err("a controller connected to a worker");
+    assert_eq!(error.kind(), std::io::ErrorKind::WouldBlock);
+}
+
 #[test]
 #[expect(clippy::too_many_lines, reason = "one scenario in order")]
 fn the_program_starts_and_completes_a_job() {
     actix_web::rt::System::new().block_on(async move {
-        let machine = running_machine("m-000001");
+        let worker_address = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let mut machine = running_machine("m-000001");
+        machine.endpoint = worker_address.local_addr().expect("bound").to_string();
         let external = ExternalServices::start(vec![machine.clone()]);
         let addresses = allocate_addresses(3);
         let mut program = Program::start(
@@ -300,6 +314,7 @@
         let status = call("GET", &url, None).await;
         let log = program.kill();
         assert!(done, "the job was not done in time; log:\n{log}");
+        assert_no_direct_command(&worker_address);
         assert_eq!(
             status.map(|s| s.1["counters"]["done"].clone()),
             Some(json!(6))
--- a/tests/search.rs
+++ b/tests/search.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use support::late_answers::LateLaunches;
 use support::scenarios::{ScenarioPlan, run};
 use support::search;
 
@@ -12,6 +13,7 @@
         machines: 12 + (seed % 5) as usize * 12,
         faults: 25,
         restarts: !seed.is_multiple_of(3),
+        late_launches: LateLaunches::None,
     }
 }
 
--- a/tests/support/machines.rs
+++ b/tests/support/machines.rs
@@ -18,6 +18,12 @@
         tasks.filter(of_job).filter(|t| t.ended.is_none()).count()
     }
 
+    /// Whether a task of a job runs on a machine.
+    pub fn runs_task_of(&self, at: usize, job: &str) -> bool {
+        let mut tasks = self.workers[at].tasks.iter();
+        tasks.any(|t| t.ended.is_none() && job_of(&t.task) == job)
+    }
+
     /// Number of task starts of a job.
     pub fn start_count_of(&self, job: &str) -> usize {
         let of_job = |s: &&(u64, String, String)| job_of(&s.1) == job;
@@ -55,6 +61,7 @@
             silent_until: 0,
             last_acked_at: self.now + boot_ms,
             pending_ack: None,
+            unanswered_until: None,
             disconnected: false,
             loses_responses: false,
             hung: false,
@@ -172,7 +179,7 @@
             let response = controller.release_ack(&machine, number, clock);
             digest::heartbeat_response(origin, &machine, &response);
             match is_connected {
-                true => self.handle_response(at, response, sent),
+                true => self.deliver_response(at, response, sent),
                 false => self.handle_missing_response(at, sent),
             }
             return;
@@ -259,7 +266,7 @@
             self.handle_missing_response(at, now);
             return;
         }
-        self.handle_response(at, response, now);
+        self.deliver_response(at, response, now);
     }
 
     /// Whether a message from or to a worker with this many tasks or commands is longer than the protocol
@@ -292,6 +299,7 @@
         let controllers = self.controllers.len();
         let worker = &mut self.workers[at];
         worker.pending_ack = None;
+        worker.unanswered_until = Some(sent + 4000);
         worker.current_controller = (worker.current_controller + 1) % controllers;
         worker.next_heartbeat_at = sent + 5000;
         worker.silent_until = worker.next_heartbeat_at;
@@ -302,6 +310,7 @@
         let now = self.now;
         let worker = &mut self.workers[at];
         worker.pending_ack = None;
+        worker.unanswered_until = None;
         match response {
             HeartbeatResponse::HeartbeatAck(o) if o.token >= worker.token => {
                 self.exceeds_message_limit(at, o.commands.len(), &o);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use quillbend::jobs;
 use quillbend::jobs::dependent::{self, Acceptance, PredecessorState, plan_acceptance};
 use quillbend::protocol::{
-    Catalog, CloudMachine, Command, ExitReason, Heartbeat, JobKind, JobSpec, JobStatus,
-    MachineNames, Mutation, PeerMessage, Priority, Transaction,
+    Catalog, CloudMachine, Command, ExitReason, Heartbeat, HeartbeatAck, JobKind, JobSpec,
+    JobStatus, MachineNames, Mutation, PeerMessage, Priority, Transaction,
 };
 use quillbend::records::{BlockRecord, JobRecord, Transfer, WaitingRecord};
 use quillbend::replica::{archive_key, job_key, waiting_key};
@@ -22,6 +22,7 @@
 mod controllers;
 pub mod digest;
 mod invariants;
+pub mod late_answers;
 mod machines;
 pub mod occupancy;
 pub mod scenarios;
@@ -30,6 +31,7 @@
 mod users;
 mod worker;
 
+use late_answers::{LateLaunches, LateMessage};
 pub use store::FakeStore;
 pub use worker::{Task, Worker};
 
@@ -112,6 +114,12 @@
     heartbeats_to_replay: Vec<Heartbeat>,
     /// Leader when kept heartbeats were last delivered.
     last_leader: Option<usize>,
+    /// What happens to the answers that launch tasks.
+    pub late_launches: LateLaunches,
+    /// Answers and commands that are still on their way to workers.
+    late_messages: Vec<LateMessage>,
+    /// Number of late answers and commands that workers carried out.
+    pub late_launches_taken: u32,
     /// All starts of tasks: time, task, machine.
     pub starts: Vec<(u64, String, String)>,
     /// Violated invariants.
@@ -232,6 +240,9 @@
             replays_heartbeats_to_next_leader: false,
             heartbeats_to_replay: Vec::new(),
             last_leader: None,
+            late_launches: LateLaunches::None,
+            late_messages: Vec::new(),
+            late_launches_taken: 0,
             starts: Vec::new(),
             violations: Vec::new(),
             returned: BTreeSet::new(),
@@ -339,6 +350,7 @@
         for at in 0..self.workers.len() {
             self.step_worker(at);
         }
+        self.deliver_late_messages();
         let paused: Vec<bool> = (0..self.controllers.len())
             .map(|i| self.is_paused(i))
             .collect();
--- a/tests/support/scenarios.rs
+++ b/tests/support/scenarios.rs
@@ -1,5 +1,6 @@
 //! Scenarios of several controllers and many machines in which random faults overlap.
 
+use super::late_answers::LateLaunches;
 use super::{PLATFORM, Priority, Rng, SeedableRng, SmallRng, StoreFault, World};
 
 /// Size and limits of a deployment.
@@ -111,6 +112,8 @@
     pub faults: usize,
     /// Whether machines may restart under the same name.
     pub restarts: bool,
+    /// What happens to the answers that launch tasks.
+    pub late_launches: LateLaunches,
 }
 
 /// A scenario that is running.
@@ -132,6 +135,8 @@
     pub revision: u64,
     /// All starts of tasks: time, task, machine.
     pub starts: Vec<(u64, String, String)>,
+    /// Number of late answers and commands that workers carried out.
+    pub late_launches_taken: u32,
 }
 
 /// Runs a scenario. On failure, returns the plan, the first violated invariants and the events before
@@ -160,6 +165,7 @@
         true => Ok(ScenarioResult {
             revision: scenario.world.store.revision(),
             starts: std::mem::take(&mut scenario.world.starts),
+            late_launches_taken: scenario.world.late_launches_taken,
         }),
         false => Err(scenario.failure_report()),
     }
@@ -193,6 +199,7 @@
             );
         let mut world =
             World::with_platform(plan.seed, deployment.controllers, plan.machines, &platform);
+        world.late_launches = plan.late_launches;
         world.run_ms = 12_000;
         world.fetch_ms = [0, 1500, 4000][rng.random_range(0..3)];
         world.save_ms = [0, 3000][rng.random_range(0..2)];
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -66,6 +66,8 @@
     pub(super) last_acked_at: u64,
     /// A delayed ack: when its heartbeat was sent, when the ack is due, and the controller that delays it.
     pub(super) pending_ack: Option<(u64, u64, usize)>,
+    /// Until when the worker waits for the answer to its last report; None if it has one.
+    pub(super) unanswered_until: Option<u64>,
     /// The machine is disconnected in both directions.
     pub disconnected: bool,
     /// Heartbeats arrive at the controllers, but no response reaches the worker.
