--- a/src/controller/heartbeat/reconcile.rs
+++ b/src/controller/heartbeat/reconcile.rs
@@ -4,13 +4,14 @@
 //! is unavailable. A task that seemed absent could be stolen and run twice.
 
 use crate::clock::Timestamp;
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashMap;
 use crate::controller::held_machines::{MachineRuntime, TaskRuntime};
 use crate::controller::{Completion, Controller, TaskOutcome};
 use crate::names::{ClassId, MachineId};
 use crate::placement::Resources;
 use crate::protocol::{ExitReason, Heartbeat, TaskPhase, TaskStatus};
 use crate::replica::{Binding, Job, Machine, TaskId};
+use std::collections::HashSet;
 use tracing::debug;
 
 /// A reported task, matched with the queue of its machine.
@@ -157,7 +158,7 @@
 
 /// Names of the tasks of which a heartbeat lists more than one attempt.
 fn tasks_listed_twice(heartbeat: &Heartbeat) -> HashSet<&str> {
-    let mut listed = HashSet::default();
+    let mut listed = HashSet::new();
     let names = heartbeat.tasks.iter().map(|status| status.task.as_str());
     names.filter(|name| !listed.insert(*name)).collect()
 }
